--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,361 @@
+//! The interface for users, workers and health checks.
+
+use std::time::Duration;
+
+use tokio::time::{Instant, timeout_at};
+use tracing::debug;
+
+use crate::http::{Request, Response};
+use crate::model::{JobId, NodeId};
+use crate::peer::{Ask, Tell, Waits};
+use crate::place;
+use crate::service::{Accepting, Service};
+use crate::wire::{self, JobAnswer, JobSpec, JobStage, Shape};
+
+/// Most user requests served at a time; more are told to come back.
+const MOST_AT_ONCE: usize = 256;
+
+/// Whether a job can ever run, as far as its team and the machine types tell.
+#[derive(Debug, PartialEq, Eq)]
+enum Fitness {
+    Fits,
+    Never(&'static str),
+    NotKnown,
+}
+
+impl Service {
+    /// Answers a request on the public address.
+    pub async fn answer(&self, request: Request) -> Response {
+        let path = request.path.split('?').next().unwrap_or("");
+        match (path, request.method.as_str()) {
+            ("/v1/report", "POST") => return self.on_report(&request.body),
+            ("/ready", "GET") => return self.ready().await,
+            ("/v1/report" | "/ready", _) => return Response::empty(405),
+            _ => {}
+        }
+        if self.serving.get() >= MOST_AT_ONCE {
+            return Response::later(1);
+        }
+        self.serving.set(self.serving.get() + 1);
+        let response = self.answer_user(path, &request).await;
+        self.serving.set(self.serving.get() - 1);
+        response
+    }
+
+    async fn answer_user(&self, path: &str, request: &Request) -> Response {
+        let method = request.method.as_str();
+        if path == "/api/jobs" {
+            return match method {
+                "POST" => self.on_submit(&request.body).await,
+                _ => Response::empty(405),
+            };
+        }
+        let Some(rest) = path.strip_prefix("/api/jobs/") else {
+            return Response::empty(404);
+        };
+        let (id, wanted, abort) = match rest.strip_suffix("/abort") {
+            Some(id) => (id, "POST", true),
+            None => (rest, "GET", false),
+        };
+        if id.contains('/') {
+            return Response::empty(404);
+        }
+        if method != wanted {
+            return Response::empty(405);
+        }
+        // No job can have an id of another form.
+        let Some(id) = JobId::parse(id) else {
+            return Response::empty(404);
+        };
+        if abort {
+            self.abort(id, true).await
+        } else {
+            self.query(id, true).await
+        }
+    }
+
+    /// Ready while requests can be served here or handed over. When nobody reaches the
+    /// store, being unready would help nobody: requests are answered with 503 at once.
+    async fn ready(&self) -> Response {
+        let (loaded, stale) = {
+            let core = self.core.borrow();
+            let age = core.rights.sync_age(self.now());
+            (core.loaded, age.is_none_or(|a| a > 3_000))
+        };
+        if !loaded || (stale && self.reaching_peer().await.is_some()) {
+            return Response::later(1);
+        }
+        Response::empty(200)
+    }
+
+    /// Another controller that reaches the store.
+    async fn reaching_peer(&self) -> Option<NodeId> {
+        for node in self.others() {
+            if let Some(Tell::Reach(true)) = self.ask(node, &Ask::Reach, 300).await {
+                return Some(node);
+            }
+        }
+        None
+    }
+
+    fn others(&self) -> impl Iterator<Item = NodeId> + use<> {
+        let me = self.me;
+        (0..self.nodes.len() as u8)
+            .map(NodeId)
+            .filter(move |n| *n != me)
+    }
+
+    /// Hands a request over to controllers that may reach the store; the first useful answer
+    /// counts. If there is none, the user is told at once to come back.
+    async fn hand_over(&self, ask: Ask) -> Response {
+        let deadline = Instant::now() + Duration::from_millis(1_200);
+        for node in self.others() {
+            let told = timeout_at(deadline, self.ask(node, &ask, 700)).await;
+            if let Ok(Some(Tell::Answer(status, body))) = told
+                && status != 503
+            {
+                debug!(node = node.0, status, "handed over");
+                return Response::new(status, body);
+            }
+        }
+        Response::later(1)
+    }
+
+    fn store_ok(&self) -> bool {
+        let core = self.core.borrow();
+        core.loaded && core.store_ok
+    }
+
+    async fn on_submit(&self, body: &[u8]) -> Response {
+        if !wire::is_map(body) {
+            return Response::empty(400);
+        }
+        let spec = match wire::decode::<JobSpec>(body) {
+            Ok(spec) => spec,
+            Err(e) => return refusal(400, &e.to_string()),
+        };
+        if let Err(e) = spec.check() {
+            return refusal(400, &e.to_string());
+        }
+        self.submit(spec, true).await
+    }
+
+    /// Takes a submission, or hands it over if this node cannot write and may do that.
+    pub(crate) async fn submit(&self, spec: JobSpec, may_hand_over: bool) -> Response {
+        let id = spec.r#ref;
+        if let Some(answer) = self.final_answer(id) {
+            return answer;
+        }
+        if !self.store_ok() {
+            return self.or_hand_over(may_hand_over, Ask::Submit(spec)).await;
+        }
+        let known = self.core.borrow().ledger.jobs.contains_key(&id);
+        if !known {
+            match self.fitness(&spec) {
+                Fitness::NotKnown => return Response::later(1),
+                // Whoever asks again about an accepted job never hears that it cannot run.
+                Fitness::Never(why) => {
+                    return match self.lookup(id).await {
+                        Some(answer) if answer.status == 404 => refusal(422, why),
+                        Some(answer) => answer,
+                        None => Response::later(1),
+                    };
+                }
+                Fitness::Fits => {}
+            }
+            match self.accept(spec.clone()).await {
+                Accepting::New => {
+                    let answer = JobAnswer {
+                        job: id,
+                        stage: JobStage::Pending,
+                        done: 0,
+                        running: 0,
+                        reason: None,
+                    };
+                    return Response::new(201, wire::encode(&answer));
+                }
+                Accepting::Known => {}
+                Accepting::Failed => {
+                    return self.or_hand_over(may_hand_over, Ask::Submit(spec)).await;
+                }
+            }
+        }
+        match self.lookup(id).await {
+            Some(answer) if answer.status == 200 => answer,
+            _ => self.or_hand_over(may_hand_over, Ask::Submit(spec)).await,
+        }
+    }
+
+    async fn or_hand_over(&self, may: bool, ask: Ask) -> Response {
+        if may {
+            self.hand_over(ask).await
+        } else {
+            Response::later(1)
+        }
+    }
+
+    fn fitness(&self, spec: &JobSpec) -> Fitness {
+        let Some(team) = self.settings.team(&spec.owner) else {
+            return Fitness::Never("unknown team");
+        };
+        let core = self.core.borrow();
+        if core.flavors.is_empty() {
+            return Fitness::NotKnown;
+        }
+        if !place::can_ever_run(spec, &core.flavors) {
+            return Fitness::Never("a task fits no allowed machine type");
+        }
+        let tasks = match spec.shape {
+            Shape::Sweep => 1,
+            Shape::Service => u64::from(spec.pieces),
+        };
+        let need = place::Need::of(spec);
+        let over = |limit: Option<crate::model::Cores>, each: u64| {
+            limit.is_some_and(|l| each.saturating_mul(tasks) > l.0)
+        };
+        if over(team.core_limit(), need.cores.0)
+            || over(team.accelerator_limit(), need.accelerators.0)
+        {
+            return Fitness::Never("beyond the team's limit");
+        }
+        Fitness::Fits
+    }
+
+    /// The answer for a job that has ended, which nothing can change any more.
+    fn final_answer(&self, id: JobId) -> Option<Response> {
+        let core = self.core.borrow();
+        let (stage, done) = core.ledger.ended.get(&id).copied()?;
+        let reason = match stage {
+            JobStage::Withdrawn => Some("cancelled by its user".to_string()),
+            _ => None,
+        };
+        let answer = JobAnswer {
+            job: id,
+            stage,
+            done,
+            running: 0,
+            reason,
+        };
+        Some(Response::new(200, wire::encode(&answer)))
+    }
+
+    /// The answer for a job as it is now; `None` if the store does not confirm it.
+    async fn lookup(&self, id: JobId) -> Option<Response> {
+        if let Some(answer) = self.final_answer(id) {
+            return Some(answer);
+        }
+        if !self.confirm().await {
+            return None;
+        }
+        if let Some(answer) = self.final_answer(id).or_else(|| self.open_answer(id)) {
+            return Some(answer);
+        }
+        // Jobs that ended long ago are no longer in memory.
+        let progress = self
+            .store
+            .get(&crate::ledger::progress_key(id))
+            .await
+            .ok()?;
+        if let Some(item) = progress {
+            let mut brought = crate::ledger::Brought::default();
+            self.core.borrow_mut().ledger.load(&item, &mut brought);
+            return self.final_answer(id);
+        }
+        match self.store.get(&crate::ledger::job_key(id)).await.ok()? {
+            Some(_) => None, // Came just now; the replica will have it in a moment.
+            None => Some(Response::empty(404)),
+        }
+    }
+
+    fn open_answer(&self, id: JobId) -> Option<Response> {
+        let core = self.core.borrow();
+        let job = core.ledger.jobs.get(&id)?;
+        let standing = core
+            .part
+            .plan()
+            .and_then(|p| p.standings.iter().find(|s| s.job == id).copied());
+        let done = job.progress.done.len();
+        let running = standing
+            .map_or(0, |s| s.running)
+            .min(job.spec.pieces - done);
+        let stage = if running > 0 {
+            JobStage::Running
+        } else {
+            JobStage::Pending
+        };
+        let reason = standing.and_then(|s| describe(s.waits));
+        let answer = JobAnswer {
+            job: id,
+            stage,
+            done,
+            running,
+            reason: reason.map(str::to_string),
+        };
+        Some(Response::new(200, wire::encode(&answer)))
+    }
+
+    /// Answers a query.
+    pub(crate) async fn query(&self, id: JobId, may_hand_over: bool) -> Response {
+        if let Some(answer) = self.final_answer(id) {
+            return answer;
+        }
+        if self.store_ok()
+            && let Some(answer) = self.lookup(id).await
+        {
+            return answer;
+        }
+        self.or_hand_over(may_hand_over, Ask::Query(id)).await
+    }
+
+    /// Cancels a job.
+    pub(crate) async fn abort(&self, id: JobId, may_hand_over: bool) -> Response {
+        for _ in 0..4 {
+            if let Some(answer) = self.final_answer(id) {
+                return answer;
+            }
+            if !self.store_ok() {
+                break;
+            }
+            let known = self.core.borrow().ledger.jobs.contains_key(&id);
+            if !known {
+                match self.lookup(id).await {
+                    Some(answer) if answer.status == 404 => return answer,
+                    Some(_) => continue,
+                    None => break,
+                }
+            }
+            match self.write_cancelled(id).await {
+                Ok(true) => continue,
+                Ok(false) => {
+                    if !self.confirm().await {
+                        break;
+                    }
+                }
+                Err(e) => {
+                    debug!(error = %e, job = %id, "cancellation not written");
+                    break;
+                }
+            }
+        }
+        match self.final_answer(id) {
+            Some(answer) => answer,
+            None => self.or_hand_over(may_hand_over, Ask::Abort(id)).await,
+        }
+    }
+}
+
+fn describe(waits: Waits) -> Option<&'static str> {
+    match waits {
+        Waits::No => None,
+        Waits::BelowWaterline => Some("waits: more urgent jobs need the machines"),
+        Waits::TeamLimit => Some("waits: its team's limit is used up"),
+        Waits::ForMachines => Some("waits: machines are full, more are being rented"),
+        Waits::Failing => Some("its tasks fail on every machine; it is tried again after pauses"),
+        Waits::Unproven => Some("waits: a machine was lost and its tasks may still be running"),
+    }
+}
+
+fn refusal(status: u16, why: &str) -> Response {
+    let body = ciborium::Value::Map(vec![("error".into(), why.into())]);
+    Response::new(status, wire::encode(&body))
+}
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,424 @@
+//! The settings file that the platform hands over, checked once at the start.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde::Deserialize;
+use thiserror::Error;
+
+use crate::model::{Cores, NodeId};
+
+/// Why the settings cannot be used.
+#[derive(Debug, Error)]
+pub enum ConfigError {
+    /// The file cannot be read.
+    #[error("cannot read {path}: {source}")]
+    Read {
+        /// The file's path.
+        path: String,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The file is not TOML, or a field is missing or of the wrong type.
+    #[error("{0}")]
+    Parse(String),
+    /// A field's value makes no sense.
+    #[error("{field}: {why}")]
+    Field {
+        /// The field, with its path in the file.
+        field: String,
+        /// What is wrong with it.
+        why: String,
+    },
+}
+
+/// The settings. Fields that are not known are ignored.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Settings {
+    /// This controller's name.
+    pub node_name: String,
+    /// Its zone.
+    pub site: String,
+    /// Where users, workers and health checks reach it.
+    pub api_addr: SocketAddr,
+    /// Where the other controllers reach it.
+    pub back: SocketAddr,
+    /// The other controllers.
+    #[serde(default)]
+    pub known: Vec<Known>,
+    /// The outside services.
+    pub outside: Outside,
+    /// What the deployment is like.
+    pub params: Params,
+}
+
+/// Another controller.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Known {
+    /// Its name.
+    pub node_name: String,
+    /// Its zone.
+    pub site: String,
+    /// Its `back` address.
+    pub address: SocketAddr,
+}
+
+/// Addresses of the outside services.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Outside {
+    /// The cloud's interface.
+    pub cloud: SocketAddr,
+    /// The state service.
+    pub state: SocketAddr,
+}
+
+/// Parameters of the deployment.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Params {
+    /// How many controllers there are.
+    pub nodes: u32,
+    /// The zones.
+    #[serde(default)]
+    pub zones: Vec<String>,
+    /// The teams.
+    #[serde(default)]
+    pub teams: Vec<Team>,
+    /// What is expected per class of jobs.
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    /// Workers' rhythm and leases.
+    pub workers: Workers,
+    /// Budgets of the state service.
+    pub state: StateLimits,
+    /// Budgets of the cloud.
+    pub cloud: CloudLimits,
+    /// What this process may use.
+    #[serde(default)]
+    pub limits: Limits,
+}
+
+/// A team with its guarantee and its limit; 0 means none.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Team {
+    /// Its name.
+    pub name: String,
+    /// Guaranteed cores.
+    #[serde(default)]
+    pub cpus: f64,
+    /// Most cores at any time.
+    #[serde(default)]
+    pub cpus_max: f64,
+    /// Guaranteed accelerators.
+    #[serde(default)]
+    pub gpus: f64,
+    /// Most accelerators at any time.
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+impl Team {
+    /// The limit on cores, if there is one.
+    pub fn core_limit(&self) -> Option<Cores> {
+        (self.cpus_max > 0.0).then(|| Cores::offer(self.cpus_max))
+    }
+    /// The limit on accelerators, if there is one.
+    pub fn accelerator_limit(&self) -> Option<Cores> {
+        (self.gpus_max > 0.0).then(|| Cores::offer(self.gpus_max))
+    }
+}
+
+/// One aim on starting or finishing.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    /// `finished`, `deadline`, `wait` or `guarantee`.
+    pub kind: String,
+    /// The class of jobs, if it is about one.
+    #[serde(default)]
+    pub class: Option<String>,
+    /// The time that counts, if it has one.
+    #[serde(default)]
+    pub within_s: Option<f64>,
+}
+
+/// Workers' rhythm and leases.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Workers {
+    /// Seconds between two reports.
+    pub report_s: f64,
+    /// A worker's lease.
+    pub lease_s: f64,
+    /// The time within which a cancelled job's tasks have to be gone.
+    pub cancel_s: f64,
+}
+
+/// Budgets of the state service.
+#[derive(Debug, Clone, Deserialize)]
+pub struct StateLimits {
+    /// Requests a second, all controllers together.
+    pub rps: f64,
+    /// Changes a second, all controllers together.
+    pub write_rps: f64,
+    /// KiB per value.
+    pub value_kb: f64,
+    /// Changes per transaction.
+    pub txn_ops: usize,
+}
+
+/// Budgets of the cloud.
+#[derive(Debug, Clone, Deserialize)]
+pub struct CloudLimits {
+    /// Requests a second.
+    pub rps: f64,
+    /// How late its list is.
+    pub list_lag_s: f64,
+}
+
+/// What this process may use.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(default)]
+pub struct Limits {
+    /// Share of a core.
+    pub cores: f64,
+    /// Memory in MB.
+    pub ram_mb: f64,
+    /// Open sockets.
+    pub sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            cores: 1.0,
+            ram_mb: 256.0,
+            sockets: 1024,
+        }
+    }
+}
+
+/// A controller as everybody numbers it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NodeInfo {
+    /// Its name.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its `back` address.
+    pub back: SocketAddr,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    pub fn load(path: &Path) -> Result<Self, ConfigError> {
+        let text = std::fs::read_to_string(path).map_err(|source| ConfigError::Read {
+            path: path.display().to_string(),
+            source,
+        })?;
+        Self::parse(&text)
+    }
+
+    /// Parses and checks the text of a settings file.
+    pub fn parse(text: &str) -> Result<Self, ConfigError> {
+        let settings: Settings = toml::from_str(text)
+            .map_err(|e| ConfigError::Parse(e.to_string().trim().replace('\n', " ")))?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), ConfigError> {
+        let bad = |field: &str, why: &str| {
+            Err(ConfigError::Field {
+                field: field.to_string(),
+                why: why.to_string(),
+            })
+        };
+        if self.node_name.is_empty() {
+            return bad("node_name", "is empty");
+        }
+        let p = &self.params;
+        if p.nodes as usize != self.known.len() + 1 {
+            return bad(
+                "params.nodes",
+                "does not match the controllers listed in known",
+            );
+        }
+        if p.nodes > 32 {
+            return bad("params.nodes", "more than 32 controllers are not supported");
+        }
+        let mut names: Vec<&str> = self.known.iter().map(|k| k.node_name.as_str()).collect();
+        names.push(&self.node_name);
+        names.sort_unstable();
+        if names.windows(2).any(|w| w[0] == w[1]) {
+            return bad("known", "two controllers have the same name");
+        }
+        let positive = [
+            ("params.workers.report_s", p.workers.report_s),
+            ("params.workers.lease_s", p.workers.lease_s),
+            ("params.workers.cancel_s", p.workers.cancel_s),
+            ("params.state.rps", p.state.rps),
+            ("params.state.write_rps", p.state.write_rps),
+            ("params.state.value_kb", p.state.value_kb),
+            ("params.cloud.rps", p.cloud.rps),
+        ];
+        for (field, value) in positive {
+            if !(value.is_finite() && value > 0.0) {
+                return bad(field, "must be a number above 0");
+            }
+        }
+        if p.workers.cancel_s < p.workers.lease_s + 4.0 {
+            return bad(
+                "params.workers.cancel_s",
+                "must exceed lease_s by 4 s or more, or cancelled tasks can't be proven gone in time",
+            );
+        }
+        if p.state.txn_ops < 4 {
+            return bad("params.state.txn_ops", "must be 4 or more");
+        }
+        for team in &p.teams {
+            let amounts = [team.cpus, team.cpus_max, team.gpus, team.gpus_max];
+            if amounts.iter().any(|a| !a.is_finite() || *a < 0.0) {
+                return bad(
+                    "params.teams",
+                    &format!("amounts of {} must not be negative", team.name),
+                );
+            }
+        }
+        if p.limits.sockets < 64 {
+            return bad("params.limits.sockets", "must be 64 or more");
+        }
+        Ok(())
+    }
+
+    /// All controllers in the order that everybody uses, and this one's place among them.
+    pub fn all_nodes(&self) -> (Vec<NodeInfo>, NodeId) {
+        let mut nodes: Vec<NodeInfo> = self
+            .known
+            .iter()
+            .map(|k| NodeInfo {
+                name: k.node_name.clone(),
+                zone: k.site.clone(),
+                back: k.address,
+            })
+            .collect();
+        nodes.push(NodeInfo {
+            name: self.node_name.clone(),
+            zone: self.site.clone(),
+            back: self.back,
+        });
+        nodes.sort_by(|a, b| a.name.cmp(&b.name));
+        let me = nodes
+            .iter()
+            .position(|n| n.name == self.node_name)
+            .unwrap_or(0);
+        (nodes, NodeId(me as u8))
+    }
+
+    /// The team of that name.
+    pub fn team(&self, name: &str) -> Option<&Team> {
+        self.params.teams.iter().find(|t| t.name == name)
+    }
+
+    /// How long a node may keep workers alive after its last proof of being current, in
+    /// milliseconds: what is left of `cancel_s` once a whole worker lease and a margin
+    /// are taken off.
+    pub fn keep_alive_ms(&self) -> u64 {
+        let w = &self.params.workers;
+        let margin = 2.0 + w.cancel_s * 0.001;
+        (((w.cancel_s - w.lease_s - margin).max(1.0)) * 1000.0) as u64
+    }
+
+    /// A worker's lease in milliseconds.
+    pub fn worker_lease_ms(&self) -> u64 {
+        (self.params.workers.lease_s * 1000.0) as u64
+    }
+}
+
+#[cfg(test)]
+pub(crate) mod tests {
+    use super::*;
+
+    /// A settings file like those that the platform hands over.
+    pub(crate) const EXAMPLE: &str = r#"
+node_name = "host-0"
+site = "a"
+api_addr = "10.0.0.1:8080"
+back = "10.0.0.1:8081"
+novelty = 4
+[[known]]
+node_name = "host-1"
+site = "b"
+address = "10.0.0.2:8081"
+[[known]]
+node_name = "host-2"
+site = "a"
+address = "10.0.0.3:8081"
+[outside]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[params]
+nodes = 3
+zones = ["a", "b"]
+[[params.teams]]
+name = "red"
+cpus = 16.0
+cpus_max = 32.0
+[[params.teams]]
+name = "blue"
+[params.workers]
+report_s = 1.0
+lease_s = 10.0
+cancel_s = 30.0
+[params.state]
+rps = 200.0
+write_rps = 80.0
+value_kb = 8.0
+txn_ops = 12
+[params.cloud]
+rps = 8.0
+list_lag_s = 6.0
+[params.limits]
+cores = 0.08
+ram_mb = 56.0
+sockets = 900
+"#;
+
+    #[test]
+    fn settings_are_checked_once_and_say_what_is_wrong() {
+        let cases = [
+            ("", "", None),
+            ("site = \"a\"\napi", "api", Some("site")),
+            ("nodes = 3", "nodes = 2", Some("params.nodes")),
+            ("lease_s = 10.0", "lease_s = -1.0", Some("lease_s")),
+            ("cancel_s = 30.0", "cancel_s = 12.0", Some("cancel_s")),
+            ("txn_ops = 12", "txn_ops = 1", Some("txn_ops")),
+            ("txn_ops = 12", "txn_ops = \"x\"", Some("txn_ops")),
+            ("\"host-1\"", "\"host-0\"", Some("known")),
+            ("cpus_max = 32.0", "cpus_max = -3.0", Some("params.teams")),
+            ("\"10.0.0.1:8080\"", "\"here\"", Some("api_addr")),
+        ];
+        for (from, to, want) in cases {
+            let text = EXAMPLE.replacen(from, to, 1);
+            match (Settings::parse(&text), want) {
+                (Ok(_), None) => {}
+                (Err(e), Some(field)) => {
+                    let line = e.to_string();
+                    assert!(line.contains(field), "{from} -> {to}: {line}");
+                    assert!(!line.contains('\n'));
+                }
+                (got, want) => panic!("{from} -> {to}: {got:?}, wanted {want:?}"),
+            }
+        }
+    }
+
+    #[test]
+    fn everybody_numbers_the_controllers_alike() {
+        let s = Settings::parse(EXAMPLE).unwrap();
+        let (nodes, me) = s.all_nodes();
+        assert_eq!(me, NodeId(0));
+        let names: Vec<_> = nodes.iter().map(|n| n.name.as_str()).collect();
+        assert_eq!(names, ["host-0", "host-1", "host-2"]);
+        assert_eq!(s.team("blue").unwrap().core_limit(), None);
+        assert_eq!(s.team("red").unwrap().core_limit(), Some(Cores(32_000)));
+        // A right to keep alive plus a whole lease has to end before `cancel_s` does.
+        assert!(s.keep_alive_ms() + s.worker_lease_ms() < 30_000);
+    }
+}
--- /dev/null
+++ b/src/ledger.rs
@@ -0,0 +1,568 @@
+//! The durable facts as this controller knows them: a replica of the state service.
+//!
+//! Keys: `j/<job>` the job as accepted (never changed), `d/<job>` its finished ranges and its
+//! end (cancelled or done), `lead` and `n/<node>` (on leases), `term`, `m/<machine>` every
+//! machine that may be given tasks, `e/<n>` the task ranges that the last epochs granted,
+//! `flavors` the machine types,
+//! `x/<to>/<from>/<n>` messages between controllers that cannot reach each other.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::model::{Incarnation, JobId, MachineId, NodeId, Ranges, Revision, TaskId, Term, Wall};
+use crate::wire::{self, Changes, Guard, Item, JobSpec, JobStage, Value};
+
+/// How many ended jobs are kept in memory; older ones are read from the store when asked for.
+const ENDED_KEPT: usize = 100_000;
+
+/// A job as it was accepted.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Accepted {
+    /// What its user asked for.
+    pub spec: JobSpec,
+    /// When it was accepted.
+    pub at: Wall,
+}
+
+/// What is durable about a job's progress.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Progress {
+    /// Set once the job has ended, and never changed then.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub end: Option<JobStage>,
+    /// Tasks that completed.
+    #[serde(default)]
+    pub done: Ranges,
+}
+
+/// Who leads.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LeadRecord {
+    /// The leader.
+    pub node: NodeId,
+    /// The life of its process.
+    pub life: Incarnation,
+    /// Its term.
+    pub term: Term,
+}
+
+/// A controller that is up.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MemberRecord {
+    /// The life of its process.
+    pub life: Incarnation,
+}
+
+/// A machine that tasks may be on.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MachineRecord {
+    /// Type.
+    pub hull: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot or ordinary.
+    pub spot: bool,
+    /// Set once it is proven gone; the key stays for a while so that late reports are known
+    /// for what they are.
+    #[serde(default)]
+    pub gone: Option<Wall>,
+}
+
+/// The term as a key of its own, which stays when a leader's lease ends.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TermRecord {
+    /// The highest term given out.
+    pub term: Term,
+}
+
+/// Task ranges granted by an epoch: any of these tasks that is not done may be running.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct EpochRecord {
+    /// The term that wrote it.
+    pub term: Term,
+    /// Granted tasks.
+    pub granted: Vec<(JobId, Ranges)>,
+}
+
+/// A job that has not ended.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// The job.
+    pub spec: JobSpec,
+    /// When it was accepted.
+    pub at: Wall,
+    /// Its progress.
+    pub progress: Progress,
+    /// Version of its progress; 0 if there is none yet.
+    pub progress_stamp: Revision,
+}
+
+impl Job {
+    /// Whether a task is done.
+    pub fn is_done(&self, index: u32) -> bool {
+        self.progress.done.contains(index)
+    }
+    /// Tasks that are not done.
+    pub fn remaining(&self) -> u32 {
+        self.spec.pieces.saturating_sub(self.progress.done.len())
+    }
+}
+
+/// What a batch of changes brought, for those who wait for it.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Brought {
+    /// New jobs came.
+    pub jobs: bool,
+    /// Jobs ended or made progress.
+    pub progress: bool,
+    /// The leader changed.
+    pub lead: bool,
+    /// A message for this node came.
+    pub relay: bool,
+}
+
+/// The replica.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    me: String,
+    /// Everything up to this revision is in here.
+    pub revision: Revision,
+    /// Jobs that have not ended.
+    pub jobs: BTreeMap<JobId, Job>,
+    /// Jobs that have ended, with the number of tasks done.
+    pub ended: HashMap<JobId, (JobStage, u32)>,
+    orphaned: HashMap<JobId, (Progress, Revision)>,
+    /// Controllers that are up.
+    pub members: BTreeMap<NodeId, (MemberRecord, Revision)>,
+    /// How often each controller's key came or went, so that no absence is taken for a
+    /// longer one than it was.
+    pub member_moves: BTreeMap<NodeId, u64>,
+    /// The leader.
+    pub lead: Option<(LeadRecord, Revision)>,
+    /// The highest term, and the version of its key.
+    pub term: Term,
+    /// Version of the term's key.
+    pub term_stamp: Revision,
+    /// Machines that tasks may be on, and those lately gone.
+    pub machines: BTreeMap<MachineId, (MachineRecord, Revision)>,
+    /// Granted ranges by key number.
+    pub epochs: BTreeMap<u32, (EpochRecord, Revision)>,
+    /// Machine types, as the last leader that asked the cloud wrote them.
+    pub flavors: Option<(wire::Flavors, Revision)>,
+    /// Messages for this node, by sender and part.
+    pub relay: BTreeMap<(u8, u32), (String, Revision)>,
+}
+
+/// The key of an accepted job.
+pub fn job_key(job: JobId) -> String {
+    format!("j/{job}")
+}
+/// The key of a job's progress.
+pub fn progress_key(job: JobId) -> String {
+    format!("d/{job}")
+}
+/// The key of a machine.
+pub fn machine_key(machine: &MachineId) -> String {
+    format!("m/{machine}")
+}
+/// The key of a controller.
+pub fn member_key(node: NodeId) -> String {
+    format!("n/{}", node.0)
+}
+/// The key of a part of the granted ranges.
+pub fn epoch_key(n: u32) -> String {
+    format!("e/{n:04}")
+}
+/// The key of a part of a relayed message.
+pub fn relay_key(to: NodeId, from: NodeId, part: u32) -> String {
+    format!("x/{}/{}/{part}", to.0, from.0)
+}
+/// The leader's key.
+pub const LEAD_KEY: &str = "lead";
+/// The key of the machine types.
+pub const FLAVORS_KEY: &str = "flavors";
+/// The term's key.
+pub const TERM_KEY: &str = "term";
+
+impl Ledger {
+    /// An empty replica for that node.
+    pub fn new(me: NodeId) -> Self {
+        Ledger {
+            me: format!("{}/", me.0),
+            ..Ledger::default()
+        }
+    }
+
+    /// Forgets everything that is read anew, keeping what can never change.
+    pub fn reset(&mut self) {
+        let ended = std::mem::take(&mut self.ended);
+        let me = std::mem::take(&mut self.me);
+        let mut member_moves = std::mem::take(&mut self.member_moves);
+        // What came and went while the changes were not followed is not known.
+        member_moves.values_mut().for_each(|n| *n += 1);
+        *self = Ledger {
+            me,
+            ended,
+            member_moves,
+            ..Ledger::default()
+        };
+    }
+
+    /// Takes an item that was read.
+    pub fn load(&mut self, item: &Item, brought: &mut Brought) {
+        self.put(&item.path, &item.v, item.stamp, brought);
+    }
+
+    /// Takes a watch's answer. Answers that cover nothing new are ignored, so the order in
+    /// which overlapping watches come back does not matter.
+    pub fn apply(&mut self, changes: &Changes) -> Brought {
+        let mut brought = Brought::default();
+        for news in &changes.news {
+            if news.stamp <= self.revision {
+                continue;
+            }
+            match (&news.set, &news.drop, &news.v) {
+                (Some(key), _, Some(value)) => self.put(key, value, news.stamp, &mut brought),
+                (_, Some(key), _) => self.delete(key, news.stamp, &mut brought),
+                _ => {}
+            }
+        }
+        self.revision = self.revision.max(changes.epoch);
+        brought
+    }
+
+    fn put(&mut self, key: &str, value: &Value, stamp: Revision, brought: &mut Brought) {
+        if key == LEAD_KEY {
+            if self.lead.as_ref().is_none_or(|l| l.1 < stamp) {
+                self.lead = wire::from_value(value).map(|r| (r, stamp));
+                brought.lead = true;
+            }
+            return;
+        }
+        if key == TERM_KEY {
+            if let Some(r) = wire::from_value::<TermRecord>(value)
+                && self.term_stamp < stamp
+            {
+                self.term = r.term;
+                self.term_stamp = stamp;
+                brought.lead = true;
+            }
+            return;
+        }
+        if key == FLAVORS_KEY {
+            if self.flavors.as_ref().is_none_or(|f| f.1 < stamp) {
+                self.flavors = wire::from_value(value).map(|f| (f, stamp));
+            }
+            return;
+        }
+        let Some((kind, rest)) = key.split_once('/') else {
+            return;
+        };
+        match kind {
+            "j" => self.put_job(rest, value, brought),
+            "d" => self.put_progress(rest, value, stamp, brought),
+            "m" => {
+                let id = MachineId::new(rest);
+                if self.machines.get(&id).is_none_or(|m| m.1 < stamp)
+                    && let Some(r) = wire::from_value(value)
+                {
+                    self.machines.insert(id, (r, stamp));
+                }
+            }
+            "n" => {
+                if let (Ok(n), Some(r)) = (rest.parse(), wire::from_value(value))
+                    && self.members.get(&NodeId(n)).is_none_or(|m| m.1 < stamp)
+                {
+                    self.members.insert(NodeId(n), (r, stamp));
+                    *self.member_moves.entry(NodeId(n)).or_default() += 1;
+                }
+            }
+            "e" => {
+                if let (Ok(n), Some(r)) = (rest.parse(), wire::from_value(value))
+                    && self.epochs.get(&n).is_none_or(|e| e.1 < stamp)
+                {
+                    self.epochs.insert(n, (r, stamp));
+                }
+            }
+            "x" => {
+                if let Some((from, part)) = self.relay_part(rest)
+                    && let Some(text) = value.as_text()
+                {
+                    self.relay.insert((from, part), (text.to_string(), stamp));
+                    brought.relay = true;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn relay_part(&self, rest: &str) -> Option<(u8, u32)> {
+        let (from, part) = rest.strip_prefix(&self.me)?.split_once('/')?;
+        Some((from.parse().ok()?, part.parse().ok()?))
+    }
+
+    fn put_job(&mut self, rest: &str, value: &Value, brought: &mut Brought) {
+        let Some(id) = JobId::parse(rest) else { return };
+        if self.ended.contains_key(&id) || self.jobs.contains_key(&id) {
+            return;
+        }
+        let Some(accepted) = wire::from_value::<Accepted>(value) else {
+            tracing::error!(job = %id, "accepted job cannot be read from the store");
+            return;
+        };
+        let (progress, progress_stamp) = self.orphaned.remove(&id).unwrap_or_default();
+        self.jobs.insert(
+            id,
+            Job {
+                spec: accepted.spec,
+                at: accepted.at,
+                progress,
+                progress_stamp,
+            },
+        );
+        brought.jobs = true;
+    }
+
+    fn put_progress(&mut self, rest: &str, value: &Value, stamp: Revision, b: &mut Brought) {
+        let Some(id) = JobId::parse(rest) else { return };
+        let Some(progress) = wire::from_value::<Progress>(value) else {
+            return;
+        };
+        if !progress.done.is_sound() {
+            return;
+        }
+        b.progress = true;
+        if let Some(end) = progress.end {
+            self.jobs.remove(&id);
+            self.orphaned.remove(&id);
+            if self.ended.len() >= ENDED_KEPT {
+                self.ended.clear();
+            }
+            self.ended.insert(id, (end, progress.done.len()));
+        } else if let Some(job) = self.jobs.get_mut(&id) {
+            if job.progress_stamp < stamp {
+                job.progress = progress;
+                job.progress_stamp = stamp;
+            }
+        } else if !self.ended.contains_key(&id) {
+            self.orphaned.insert(id, (progress, stamp));
+        }
+    }
+
+    fn delete(&mut self, key: &str, stamp: Revision, brought: &mut Brought) {
+        if key == LEAD_KEY {
+            if self.lead.as_ref().is_some_and(|l| l.1 < stamp) {
+                self.lead = None;
+                brought.lead = true;
+            }
+            return;
+        }
+        let Some((kind, rest)) = key.split_once('/') else {
+            return;
+        };
+        match kind {
+            "m" => {
+                let id = MachineId::new(rest);
+                if self.machines.get(&id).is_some_and(|m| m.1 < stamp) {
+                    self.machines.remove(&id);
+                }
+            }
+            "n" => {
+                if let Ok(n) = rest.parse().map(NodeId)
+                    && self.members.get(&n).is_some_and(|m| m.1 < stamp)
+                {
+                    self.members.remove(&n);
+                    *self.member_moves.entry(n).or_default() += 1;
+                }
+            }
+            "e" => {
+                if let Ok(n) = rest.parse::<u32>()
+                    && self.epochs.get(&n).is_some_and(|e| e.1 < stamp)
+                {
+                    self.epochs.remove(&n);
+                }
+            }
+            "x" => {
+                if let Some(at) = self.relay_part(rest) {
+                    self.relay.remove(&at);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether a task may be started as far as its job is concerned.
+    pub fn may_run(&self, task: TaskId) -> bool {
+        self.jobs
+            .get(&task.job)
+            .is_some_and(|j| task.index < j.spec.pieces && !j.is_done(task.index))
+    }
+
+    /// Whether a task's outcome no longer matters: its job has ended or it is durably done.
+    pub fn settled(&self, task: TaskId) -> bool {
+        self.ended.contains_key(&task.job)
+            || self
+                .jobs
+                .get(&task.job)
+                .is_some_and(|j| j.is_done(task.index))
+    }
+
+    /// Whether a machine may be given tasks: it is durably known and not gone.
+    pub fn machine_known(&self, id: &MachineId) -> bool {
+        self.machines.get(id).is_some_and(|m| m.0.gone.is_none())
+    }
+
+    /// Whether a machine is known to be gone.
+    pub fn machine_gone(&self, id: &MachineId) -> bool {
+        self.machines.get(id).is_some_and(|m| m.0.gone.is_some())
+    }
+
+    /// The condition that a node still leads as it did.
+    pub fn lead_guard(&self) -> Option<Guard> {
+        let (_, stamp) = self.lead.as_ref()?;
+        Some(Guard {
+            path: LEAD_KEY.into(),
+            stamp: *stamp,
+        })
+    }
+
+    /// Tasks that any earlier epoch granted and that are not done: they may be running.
+    pub fn granted_before(&self) -> HashSet<TaskId> {
+        let mut tasks = HashSet::new();
+        for (record, _) in self.epochs.values() {
+            for (job, ranges) in &record.granted {
+                let ids = ranges.iter().map(|index| TaskId { job: *job, index });
+                tasks.extend(ids.filter(|t| self.may_run(*t)));
+            }
+        }
+        tasks
+    }
+
+    /// Adds finished tasks to a job's progress: the new value, or `None` if nothing changes.
+    pub fn with_done(job: &Job, tasks: impl IntoIterator<Item = u32>) -> Option<Progress> {
+        let mut progress = job.progress.clone();
+        let mut any = false;
+        for index in tasks {
+            any |= index < job.spec.pieces && progress.done.insert(index);
+        }
+        if !any {
+            return None;
+        }
+        let all = progress.done.len() == job.spec.pieces;
+        if all && job.spec.shape == wire::Shape::Sweep {
+            progress.end = Some(JobStage::Done);
+        }
+        Some(progress)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::wire::News;
+    use crate::wire::tests::spec;
+
+    fn set<T: Serialize>(key: String, value: &T, stamp: u64) -> News {
+        News {
+            set: Some(key),
+            drop: None,
+            v: Some(wire::to_value(value)),
+            stamp: Revision(stamp),
+        }
+    }
+    fn dropped(key: String, stamp: u64) -> News {
+        News {
+            set: None,
+            drop: Some(key),
+            v: None,
+            stamp: Revision(stamp),
+        }
+    }
+    fn changes(epoch: u64, news: Vec<News>) -> Changes {
+        Changes {
+            epoch: Revision(epoch),
+            news,
+        }
+    }
+
+    #[test]
+    fn overlapping_and_late_watches_change_nothing() {
+        let id = JobId(7);
+        let job = set(
+            job_key(id),
+            &Accepted {
+                spec: spec(7, 2),
+                at: Wall(1),
+            },
+            3,
+        );
+        let lead = |term| LeadRecord {
+            node: NodeId(1),
+            life: Incarnation(9),
+            term: Term(term),
+        };
+        let mut l = Ledger::new(NodeId(0));
+        assert!(l.apply(&changes(4, vec![job.clone()])).jobs);
+        l.apply(&changes(9, vec![set(LEAD_KEY.into(), &lead(2), 8)]));
+        // A slower watch that covers only older changes comes back afterwards.
+        let late = vec![
+            job,
+            set(LEAD_KEY.into(), &lead(1), 5),
+            dropped(LEAD_KEY.into(), 6),
+        ];
+        assert_eq!(l.apply(&changes(7, late)), Brought::default());
+        assert_eq!(l.lead.as_ref().unwrap().0.term, Term(2));
+        assert_eq!(l.revision, Revision(9));
+        l.apply(&changes(10, vec![dropped(LEAD_KEY.into(), 10)]));
+        assert!(l.lead.is_none());
+    }
+
+    #[test]
+    fn progress_may_be_read_before_its_job() {
+        let mut l = Ledger::new(NodeId(0));
+        let mut b = Brought::default();
+        let done = Progress {
+            end: None,
+            done: Ranges::span(0, 1),
+        };
+        let item = |path: String, v, stamp| Item {
+            path,
+            v,
+            stamp: Revision(stamp),
+        };
+        l.load(
+            &item(progress_key(JobId(7)), wire::to_value(&done), 5),
+            &mut b,
+        );
+        let accepted = Accepted {
+            spec: spec(7, 2),
+            at: Wall(1),
+        };
+        l.load(
+            &item(job_key(JobId(7)), wire::to_value(&accepted), 4),
+            &mut b,
+        );
+        let job = &l.jobs[&JobId(7)];
+        assert!(job.is_done(0) && !job.is_done(1));
+        assert_eq!(job.progress_stamp, Revision(5));
+        let end = Ledger::with_done(job, [1, 1, 99]).unwrap();
+        assert_eq!(end.end, Some(JobStage::Done));
+        assert!(Ledger::with_done(job, [0]).is_none());
+        l.load(
+            &item(progress_key(JobId(7)), wire::to_value(&end), 6),
+            &mut b,
+        );
+        assert_eq!(l.ended[&JobId(7)], (JobStage::Done, 2));
+        // An ended job stays ended whatever is read later.
+        l.load(
+            &item(progress_key(JobId(7)), wire::to_value(&done), 5),
+            &mut b,
+        );
+        l.load(
+            &item(job_key(JobId(7)), wire::to_value(&accepted), 4),
+            &mut b,
+        );
+        assert!(l.jobs.is_empty() && l.ended.len() == 1);
+    }
+}
--- /dev/null
+++ b/src/relay.rs
@@ -0,0 +1,85 @@
+//! Messages between controllers through the store, cut into values of its size.
+//!
+//! The store takes no binary values, so a message travels as text. Each part names the
+//! message that it belongs to; parts of different messages never mix.
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD_NO_PAD as BASE64;
+
+/// Cuts a message into texts of up to `limit` bytes.
+pub fn split(message: &[u8], limit: usize) -> Vec<String> {
+    let text = BASE64.encode(message);
+    let room = limit.saturating_sub(64).max(64);
+    let id = checksum(message);
+    let pieces: Vec<&[u8]> = text.as_bytes().chunks(room).collect();
+    let count = pieces.len();
+    pieces
+        .into_iter()
+        .enumerate()
+        .map(|(i, p)| format!("{id:016x}:{i}:{count}:{}", String::from_utf8_lossy(p)))
+        .collect()
+}
+
+/// Puts a message together from its parts in order; `None` while some belong to another one.
+pub fn join<'a>(parts: impl Iterator<Item = &'a str>) -> Option<Vec<u8>> {
+    let mut id: Option<&str> = None;
+    let mut text = String::new();
+    let mut expected = 1;
+    for (n, part) in parts.enumerate() {
+        if n >= expected {
+            break; // Left over from a longer message.
+        }
+        let mut fields = part.splitn(4, ':');
+        let (this, i, count, body) = (
+            fields.next()?,
+            fields.next()?,
+            fields.next()?,
+            fields.next()?,
+        );
+        if i.parse::<usize>().ok()? != n || id.is_some_and(|id| id != this) {
+            return None;
+        }
+        id = Some(this);
+        expected = count.parse().ok()?;
+        text.push_str(body);
+        if n + 1 == expected {
+            let message = BASE64.decode(&text).ok()?;
+            return (format!("{:016x}", checksum(&message)) == this).then_some(message);
+        }
+    }
+    None
+}
+
+fn checksum(message: &[u8]) -> u64 {
+    message.iter().fold(0xcbf2_9ce4_8422_2325, |h: u64, b| {
+        (h ^ u64::from(*b)).wrapping_mul(0x0000_0100_0000_01b3)
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn messages_come_back_whole_or_not_at_all() {
+        let long: Vec<u8> = (0..2_000u32).map(|n| n as u8).collect();
+        let parts = split(&long, 500);
+        assert!(parts.len() > 3 && parts.iter().all(|p| p.len() <= 500));
+        let texts = |p: &[String]| p.to_vec();
+        let short = split(b"short", 500);
+        let mixed: Vec<String> = short.iter().chain(&parts[1..]).cloned().collect();
+        let mut torn = texts(&parts);
+        torn[1] = split(&long[1..], 500)[1].clone();
+        let cases: Vec<(Vec<String>, Option<Vec<u8>>)> = vec![
+            (texts(&parts), Some(long)),
+            (texts(&parts[..2]), None),
+            (mixed, Some(b"short".to_vec())),
+            (torn, None),
+            (vec!["rubbish".into()], None),
+            (vec![], None),
+        ];
+        for (parts, want) in cases {
+            assert_eq!(join(parts.iter().map(String::as_str)), want);
+        }
+    }
+}
--- /dev/null
+++ b/src/service.rs
@@ -0,0 +1,1227 @@
+//! One controller: its state, and the loops that keep what is close to what is wanted.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use rand::Rng;
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, oneshot};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, timeout};
+use tracing::{debug, error, info, warn};
+
+use crate::capacity::Offer;
+use crate::cloud::{CloudClient, CloudError};
+use crate::config::{NodeInfo, Settings};
+use crate::http::{self, Client, Response, ServerLimits};
+use crate::lead::{Context, Lead};
+use crate::ledger::{self, Brought, LeadRecord, Ledger, MemberRecord, TermRecord};
+use crate::model::{Incarnation, JobId, NodeId, Revision, Steady, Term, Wall};
+use crate::part::{Part, Surroundings};
+use crate::peer::{self, Ask, Plan, Summary, Tell};
+use crate::place::Flavors;
+use crate::relay;
+use crate::state::{Committed, StateClient, StateError};
+use crate::term::{LEASE_MS, Rights};
+use crate::wire::{self, Change, Guard, Item, JobSpec, Rental, Txn};
+
+/// Longest wait between two epochs; arrivals and reports bring them sooner.
+const EPOCH: Duration = Duration::from_millis(1_000);
+/// Shortest time between two epochs.
+const EPOCH_LEAST: Duration = Duration::from_millis(150);
+/// Longest wait between two summaries of a part; news bring them sooner.
+const SUMMARY: Duration = Duration::from_millis(300);
+/// Shortest time between two summaries.
+const SUMMARY_LEAST: Duration = Duration::from_millis(100);
+/// Time between two messages through the store.
+const RELAY: Duration = Duration::from_millis(600);
+
+/// What a controller knows, apart from its connections.
+pub struct Core {
+    /// The replica of the store.
+    pub ledger: Ledger,
+    /// What this node may do.
+    pub rights: Rights,
+    /// Its part.
+    pub part: Part,
+    /// Its leadership.
+    pub lead: Option<Lead>,
+    /// Machine types.
+    pub flavors: Flavors,
+    /// Whether the replica has been read once.
+    pub loaded: bool,
+    /// Whether the last request to the store was served.
+    pub store_ok: bool,
+}
+
+type Waiter = oneshot::Sender<bool>;
+
+/// A submission that waits for the next group commit, and where its outcome goes.
+pub(crate) type Submission = (JobSpec, oneshot::Sender<Accepting>);
+
+/// What became of a submission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Accepting {
+    /// It is durable, and was not there before.
+    New,
+    /// The job was known already.
+    Known,
+    /// The store did not take it.
+    Failed,
+}
+
+/// One controller.
+pub struct Service {
+    /// Settings.
+    pub settings: Settings,
+    /// All controllers.
+    pub nodes: Vec<NodeInfo>,
+    /// This one's place among them.
+    pub me: NodeId,
+    /// This process's life.
+    pub life: Incarnation,
+    started: Instant,
+    /// State.
+    pub core: RefCell<Core>,
+    /// The state service.
+    pub store: StateClient,
+    cloud: CloudClient,
+    peers: Vec<Client>,
+    wake_lead: Notify,
+    wake_part: Notify,
+    wake_election: Notify,
+    wake_finish: Notify,
+    wake_accept: Notify,
+    wake_confirm: Notify,
+    confirms: RefCell<Vec<Waiter>>,
+    accepts: RefCell<Vec<Submission>>,
+    relaying: RefCell<HashMap<NodeId, Steady>>,
+    /// User requests being served.
+    pub(crate) serving: Cell<usize>,
+}
+
+impl Service {
+    /// A controller with these settings.
+    pub fn new(settings: Settings) -> Self {
+        let (nodes, me) = settings.all_nodes();
+        // Kept below 2^53 so that every reader of numbers takes it.
+        let life = Incarnation(rand::rng().random_range(1..(1 << 53)));
+        let keep_alive = settings.keep_alive_ms();
+        Service {
+            store: StateClient::new(
+                settings.outside.state,
+                &settings.params.state,
+                settings.params.nodes,
+            ),
+            cloud: CloudClient::new(settings.outside.cloud, settings.params.cloud.rps),
+            peers: nodes.iter().map(|n| Client::new(n.back, 4 << 20)).collect(),
+            core: RefCell::new(Core {
+                ledger: Ledger::new(me),
+                rights: Rights::new(keep_alive),
+                part: Part::new(me, life),
+                lead: None,
+                flavors: Flavors::new(),
+                loaded: false,
+                store_ok: false,
+            }),
+            nodes,
+            me,
+            life,
+            settings,
+            started: Instant::now(),
+            wake_lead: Notify::new(),
+            wake_part: Notify::new(),
+            wake_election: Notify::new(),
+            wake_finish: Notify::new(),
+            wake_accept: Notify::new(),
+            wake_confirm: Notify::new(),
+            confirms: RefCell::default(),
+            accepts: RefCell::default(),
+            relaying: RefCell::default(),
+            serving: Cell::new(0),
+        }
+    }
+
+    /// Now, by this process's steady clock.
+    pub fn now(&self) -> Steady {
+        Steady(self.started.elapsed().as_millis() as u64)
+    }
+
+    /// Now, by the time of day.
+    pub fn wall(&self) -> Wall {
+        let since = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        Wall(since.as_millis() as u64)
+    }
+
+    /// Serves until the process is killed.
+    pub async fn run(self: Rc<Self>) -> std::io::Result<()> {
+        let api = TcpListener::bind(self.settings.api_addr).await?;
+        let back = TcpListener::bind(self.settings.back).await?;
+        info!(node = %self.settings.node_name, life = %self.life, "serving");
+        let sockets = self.settings.params.limits.sockets;
+        let s = self.clone();
+        spawn_local(http::serve(
+            api,
+            ServerLimits::of(sockets.saturating_sub(80).max(32)),
+            move |request| {
+                let s = s.clone();
+                async move { s.answer(request).await }
+            },
+        ));
+        let s = self.clone();
+        let limits = ServerLimits {
+            body: 1 << 20,
+            ..ServerLimits::of(24)
+        };
+        spawn_local(http::serve(back, limits, move |request| {
+            let s = s.clone();
+            async move { s.answer_peer(&request.path, &request.body).await }
+        }));
+        spawn_local(self.clone().keep_lease());
+        spawn_local(self.clone().elect());
+        spawn_local(self.clone().report_part());
+        spawn_local(self.clone().lead());
+        spawn_local(self.clone().rent_and_return());
+        spawn_local(self.clone().write_finished());
+        spawn_local(self.clone().write_accepted());
+        spawn_local(self.clone().serve_confirms());
+        self.follow_store().await;
+        Ok(())
+    }
+
+    // ---- the replica ----
+
+    /// Keeps the replica current.
+    async fn follow_store(&self) {
+        loop {
+            if !self.core.borrow().loaded {
+                if let Err(e) = self.load().await {
+                    debug!(error = %e, "the store cannot be read yet");
+                    sleep(Duration::from_millis(200)).await;
+                    continue;
+                }
+                info!("the store has been read");
+            }
+            match self.pull(Duration::from_millis(1_000)).await {
+                Ok(()) => sleep(Duration::from_millis(40)).await,
+                Err(StateError::TooOld) => self.core.borrow_mut().loaded = false,
+                Err(e) => {
+                    debug!(error = %e, "cannot follow the store");
+                    sleep(Duration::from_millis(150)).await;
+                }
+            }
+        }
+    }
+
+    /// Reads the whole store.
+    async fn load(&self) -> Result<(), StateError> {
+        let sent = self.now();
+        let mut after: Option<String> = None;
+        let mut first: Option<Revision> = None;
+        let mut items: Vec<Item> = Vec::new();
+        loop {
+            let page = self.store.page("", after.as_deref()).await?;
+            first.get_or_insert(page.epoch);
+            after = page.items.last().map(|i| i.path.clone());
+            items.extend(page.items);
+            if !page.truncated || after.is_none() {
+                break;
+            }
+        }
+        let mut core = self.core.borrow_mut();
+        core.ledger.reset();
+        let mut brought = Brought::default();
+        for item in &items {
+            core.ledger.load(item, &mut brought);
+        }
+        // Pages read later may hold newer items; changes after the first page are taken
+        // again, and versions tell which of them are old.
+        core.ledger.revision = first.unwrap_or_default();
+        core.loaded = true;
+        core.store_ok = true;
+        drop(core);
+        debug!(items = items.len(), sent = sent.0, "loaded");
+        self.pull(Duration::ZERO).await?;
+        self.note(&Brought {
+            jobs: true,
+            progress: true,
+            lead: true,
+            relay: true,
+        });
+        Ok(())
+    }
+
+    /// Takes changes, waiting for some for up to `wait`.
+    async fn pull(&self, wait: Duration) -> Result<(), StateError> {
+        let sent = self.now();
+        let after = self.core.borrow().ledger.revision;
+        let got = self.store.changes(after, wait).await;
+        let mut core = self.core.borrow_mut();
+        core.store_ok = got.is_ok();
+        let changes = got?;
+        if !core.loaded {
+            return Err(StateError::TooOld);
+        }
+        let brought = core.ledger.apply(&changes);
+        core.rights.confirm_sync(sent);
+        drop(core);
+        self.note(&brought);
+        Ok(())
+    }
+
+    /// Wakes the loops that a change concerns.
+    fn note(&self, brought: &Brought) {
+        if brought.lead {
+            self.follow_lead();
+        }
+        if brought.jobs || brought.progress {
+            self.wake_lead.notify_one();
+        }
+        if brought.relay {
+            self.take_relayed();
+        }
+        let mut core = self.core.borrow_mut();
+        let core = &mut *core;
+        if brought.progress {
+            core.part.tidy(&core.ledger);
+        }
+        if let Some((flavors, _)) = &core.ledger.flavors
+            && core.flavors.is_empty()
+        {
+            core.flavors = flavors
+                .hulls
+                .iter()
+                .map(|f| (f.sku.clone(), f.clone()))
+                .collect();
+        }
+    }
+
+    /// Follows changes of term and leader. A leadership begins only here, when the replica
+    /// holds the leader's key: by then it also holds everything that earlier leaders wrote,
+    /// as their later writes fail.
+    fn follow_lead(&self) {
+        let now = self.now();
+        let wall = self.wall();
+        let mut core = self.core.borrow_mut();
+        let core = &mut *core;
+        core.part.begin_term(core.ledger.term);
+        let mine = core
+            .ledger
+            .lead
+            .as_ref()
+            .map(|(r, _)| r)
+            .filter(|r| r.node == self.me && r.life == self.life && r.term == core.ledger.term);
+        match (mine, &core.lead) {
+            (Some(r), Some(lead)) if lead.term == r.term => {}
+            (Some(r), _) => {
+                let term = r.term;
+                info!(%term, "leading");
+                let before = core.lead.take();
+                let ctx = context(self, &core.ledger, &core.rights, &core.flavors, now, wall);
+                core.lead = Some(Lead::begin(&ctx, self.me, term, before));
+            }
+            (None, Some(lead)) => {
+                info!(term = %lead.term, "no longer leading");
+                core.lead = None;
+            }
+            (None, None) => {}
+        }
+        self.wake_election.notify_one();
+        self.wake_part.notify_one();
+        self.wake_lead.notify_one();
+    }
+
+    /// Waits until the replica is known to be as current as this moment; false if the store
+    /// does not say so. Callers that come together share one request.
+    pub async fn confirm(&self) -> bool {
+        if !self.core.borrow().loaded {
+            return false;
+        }
+        let (tx, rx) = oneshot::channel();
+        self.confirms.borrow_mut().push(tx);
+        self.wake_confirm.notify_one();
+        matches!(
+            timeout(Duration::from_millis(1_700), rx).await,
+            Ok(Ok(true))
+        )
+    }
+
+    async fn serve_confirms(self: Rc<Self>) {
+        loop {
+            self.wake_confirm.notified().await;
+            loop {
+                let waiting = std::mem::take(&mut *self.confirms.borrow_mut());
+                if waiting.is_empty() {
+                    break;
+                }
+                let ok = self.pull(Duration::ZERO).await.is_ok();
+                for w in waiting {
+                    let _ = w.send(ok);
+                }
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+
+    // ---- lease and leadership ----
+
+    async fn keep_lease(self: Rc<Self>) {
+        loop {
+            let pause = match self.renew_lease().await {
+                Ok(()) => 700,
+                Err(e) => {
+                    debug!(error = %e, "lease not renewed");
+                    200
+                }
+            };
+            sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
+    async fn renew_lease(&self) -> Result<(), StateError> {
+        if !self.core.borrow().loaded {
+            return Err(StateError::Unknown);
+        }
+        let lease = self.core.borrow().rights.lease;
+        if let Some(lease) = lease {
+            let sent = self.now();
+            return match self.store.renew(lease).await {
+                Ok(()) => {
+                    self.core.borrow_mut().rights.confirm_renewal(sent);
+                    Ok(())
+                }
+                Err(e) => {
+                    if e == StateError::NoLease {
+                        warn!("the lease in the store has ended");
+                        self.core.borrow_mut().rights.lose_lease();
+                    }
+                    Err(e)
+                }
+            };
+        }
+        let lease = self.store.grant(LEASE_MS).await?;
+        // The predecessor's key, if it is still there, is replaced at once.
+        let key = ledger::member_key(self.me);
+        let stamp = self
+            .core
+            .borrow()
+            .ledger
+            .members
+            .get(&self.me)
+            .map_or(Revision(0), |m| m.1);
+        let sent = self.now();
+        let txn = Txn {
+            guards: vec![Guard {
+                path: key.clone(),
+                stamp,
+            }],
+            apply: vec![Change::Set {
+                path: key,
+                value: wire::to_value(&MemberRecord { life: self.life }),
+                lease: Some(lease),
+            }],
+        };
+        match self.store.commit(&txn).await? {
+            Committed::Yes(_) => {
+                let mut core = self.core.borrow_mut();
+                core.rights.lease = Some(lease);
+                core.rights.confirm_renewal(sent);
+                drop(core);
+                self.wake_election.notify_one();
+                Ok(())
+            }
+            Committed::No(_) => {
+                self.pull(Duration::ZERO).await?;
+                Err(StateError::Unknown)
+            }
+        }
+    }
+
+    async fn elect(self: Rc<Self>) {
+        loop {
+            let _ = timeout(Duration::from_millis(500), self.wake_election.notified()).await;
+            let Some(own) = self.may_stand() else {
+                continue;
+            };
+            if !own {
+                let wait = rand::rng().random_range(0..120);
+                sleep(Duration::from_millis(wait)).await;
+                if self.may_stand().is_none() {
+                    continue;
+                }
+            }
+            if let Err(e) = self.take_lead().await {
+                debug!(error = %e, "election undecided");
+                sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+
+    /// Whether this node may stand for leader: nobody leads, or (`Some(true)`) its own
+    /// predecessor, which is certainly dead.
+    fn may_stand(&self) -> Option<bool> {
+        let core = self.core.borrow();
+        if !core.loaded || !core.rights.may_lead(self.now()) {
+            return None;
+        }
+        match &core.ledger.lead {
+            None => Some(false),
+            Some((r, _)) if r.node == self.me && r.life != self.life => Some(true),
+            Some(_) => None,
+        }
+    }
+
+    /// Takes the next term, replacing the leader's key as it is known here.
+    async fn take_lead(&self) -> Result<(), StateError> {
+        let (txn, term) = {
+            let core = self.core.borrow();
+            let Some(lease) = core.rights.lease else {
+                return Err(StateError::NoLease);
+            };
+            let term = Term(core.ledger.term.0 + 1);
+            let lead = LeadRecord {
+                node: self.me,
+                life: self.life,
+                term,
+            };
+            let stamp = core.ledger.lead.as_ref().map_or(Revision(0), |l| l.1);
+            let guard = |path: &str, stamp| Guard {
+                path: path.into(),
+                stamp,
+            };
+            let txn = Txn {
+                guards: vec![
+                    guard(ledger::LEAD_KEY, stamp),
+                    guard(ledger::TERM_KEY, core.ledger.term_stamp),
+                ],
+                apply: vec![
+                    Change::Set {
+                        path: ledger::LEAD_KEY.into(),
+                        value: wire::to_value(&lead),
+                        lease: Some(lease),
+                    },
+                    Change::Set {
+                        path: ledger::TERM_KEY.into(),
+                        value: wire::to_value(&TermRecord { term }),
+                        lease: None,
+                    },
+                ],
+            };
+            (txn, term)
+        };
+        let outcome = self.store.commit(&txn).await?;
+        debug!(%term, ?outcome, "election");
+        self.pull(Duration::ZERO).await
+    }
+
+    // ---- the part ----
+
+    async fn report_part(self: Rc<Self>) {
+        let mut failures = 0u32;
+        let mut relayed = self.now();
+        loop {
+            let _ = timeout(SUMMARY, self.wake_part.notified()).await;
+            let leader = {
+                let core = self.core.borrow();
+                core.ledger
+                    .lead
+                    .as_ref()
+                    .filter(|_| core.loaded)
+                    .map(|(r, _)| r.node)
+            };
+            let Some(leader) = leader else {
+                sleep(SUMMARY_LEAST).await;
+                continue;
+            };
+            let summary = {
+                let mut core = self.core.borrow_mut();
+                core.part.news = false;
+                core.part.summary(self.now())
+            };
+            let told = if leader == self.me {
+                Some(self.take_summary(summary))
+            } else if failures >= 2 && self.now().since(relayed) < RELAY.as_millis() as u64 {
+                None
+            } else {
+                let told = self.ask(leader, &Ask::Summary(summary.clone()), 600).await;
+                failures = if told.is_some() { 0 } else { failures + 1 };
+                if failures >= 2 {
+                    relayed = self.now();
+                    self.relay_summary(leader, &summary).await;
+                }
+                told
+            };
+            if let Some(Tell::Plan(plan)) = told {
+                self.follow_plan(*plan);
+            }
+            sleep(SUMMARY_LEAST).await;
+        }
+    }
+
+    fn follow_plan(&self, plan: Plan) {
+        let mut core = self.core.borrow_mut();
+        if core.part.follow(plan) {
+            drop(core);
+            // The leader learns soon that the plan is followed.
+            debug!("follows a new plan");
+        }
+    }
+
+    /// As the leader, takes a summary and answers with the plan.
+    fn take_summary(&self, summary: Summary) -> Tell {
+        let now = self.now();
+        let mut core = self.core.borrow_mut();
+        let term = core.ledger.term;
+        let Some(lead) = &mut core.lead else {
+            return Tell::NotLeading(term);
+        };
+        let plan = lead.on_summary(now, summary);
+        self.wake_lead.notify_one();
+        match plan {
+            Some(plan) => Tell::Plan(Box::new(plan)),
+            None => Tell::NotLeading(term),
+        }
+    }
+
+    /// Asks another controller.
+    pub(crate) async fn ask(&self, node: NodeId, ask: &Ask, limit_ms: u64) -> Option<Tell> {
+        let client = self.peers.get(usize::from(node.0))?;
+        let body = peer::encode(ask);
+        let answer = client
+            .call("POST", "/peer", &body, Duration::from_millis(limit_ms))
+            .await;
+        answer
+            .ok()
+            .filter(|a| a.status == 200)
+            .and_then(|a| peer::decode(&a.body))
+    }
+
+    async fn answer_peer(&self, path: &str, body: &[u8]) -> Response {
+        if path != "/peer" {
+            return Response::empty(404);
+        }
+        let Some(ask) = peer::decode::<Ask>(body) else {
+            return Response {
+                close: true,
+                ..Response::empty(400)
+            };
+        };
+        let tell = match ask {
+            Ask::Summary(s) => {
+                if usize::from(s.node.0) >= self.nodes.len() || s.node == self.me {
+                    return Response::empty(400);
+                }
+                self.relaying.borrow_mut().remove(&s.node);
+                self.take_summary(s)
+            }
+            Ask::Reach => Tell::Reach(self.core.borrow().store_ok),
+            Ask::Submit(spec) => self.handed(self.submit(spec, false).await),
+            Ask::Query(job) => self.handed(self.query(job, false).await),
+            Ask::Abort(job) => self.handed(self.abort(job, false).await),
+        };
+        Response::new(200, peer::encode(&tell))
+    }
+
+    fn handed(&self, response: Response) -> Tell {
+        Tell::Answer(response.status, response.body)
+    }
+
+    /// Answers a worker's report.
+    pub(crate) fn on_report(&self, body: &[u8]) -> Response {
+        let Ok(report) = wire::decode::<wire::Report>(body) else {
+            return Response::empty(400);
+        };
+        let now = self.now();
+        let mut core = self.core.borrow_mut();
+        let core = &mut *core;
+        if report.baton > core.part.term() {
+            // Somebody leads that this node does not know of yet.
+            self.confirms.borrow_mut().push(oneshot::channel().0);
+            self.wake_confirm.notify_one();
+        }
+        let env = Surroundings {
+            now,
+            may_answer: core.loaded && core.rights.may_answer(now),
+            ledger: &core.ledger,
+            flavors: &core.flavors,
+            nodes: &self.nodes,
+        };
+        let answer = core.part.on_report(&env, &report);
+        if core.part.news {
+            self.wake_part.notify_one();
+        }
+        if !core.part.finished.is_empty() {
+            self.wake_finish.notify_one();
+        }
+        match answer {
+            crate::part::ReportAnswer::Take(reply) => Response::new(200, wire::encode(&reply)),
+            crate::part::ReportAnswer::Go(name) => Response::new(
+                421,
+                wire::encode(&wire::Redirect {
+                    steward: Some(name),
+                }),
+            ),
+            crate::part::ReportAnswer::Refuse => Response::later(1),
+        }
+    }
+
+    // ---- messages through the store ----
+
+    async fn relay_summary(&self, leader: NodeId, summary: &Summary) {
+        let guard = {
+            let core = self.core.borrow();
+            core.ledger.members.get(&self.me).map(|m| Guard {
+                path: ledger::member_key(self.me),
+                stamp: m.1,
+            })
+        };
+        let Some(guard) = guard else { return };
+        self.relay(leader, guard, &peer::encode(summary)).await;
+    }
+
+    async fn relay(&self, to: NodeId, guard: Guard, message: &[u8]) {
+        let limits = &self.settings.params.state;
+        let parts = relay::split(message, (limits.value_kb * 900.0) as usize);
+        if parts.len() > limits.txn_ops {
+            warn!(parts = parts.len(), "message too large for the store");
+            return;
+        }
+        let apply = parts
+            .into_iter()
+            .enumerate()
+            .map(|(i, text)| Change::Set {
+                path: ledger::relay_key(to, self.me, i as u32),
+                value: wire::Value::Text(text),
+                lease: None,
+            })
+            .collect();
+        let txn = Txn {
+            guards: vec![guard],
+            apply,
+        };
+        if let Err(e) = self.store.commit(&txn).await {
+            debug!(error = %e, "message through the store failed");
+        }
+    }
+
+    /// Takes messages that came through the store.
+    fn take_relayed(&self) {
+        let mut senders: Vec<u8> = self
+            .core
+            .borrow()
+            .ledger
+            .relay
+            .keys()
+            .map(|(from, _)| *from)
+            .collect();
+        senders.dedup();
+        for from in senders {
+            let message = {
+                let core = self.core.borrow();
+                let parts = core.ledger.relay.range((from, 0)..=(from, u32::MAX));
+                relay::join(parts.map(|(_, (text, _))| text.as_str()))
+            };
+            let Some(message) = message else { continue };
+            if let Some(summary) = peer::decode::<Summary>(&message) {
+                if summary.node == NodeId(from) && self.core.borrow().lead.is_some() {
+                    self.relaying.borrow_mut().insert(NodeId(from), self.now());
+                    self.take_summary(summary);
+                }
+            } else if let Some(plan) = peer::decode::<Plan>(&message) {
+                self.follow_plan(plan);
+            }
+        }
+    }
+
+    /// As the leader, sends plans through the store to those that sent their summaries so.
+    async fn relay_plans(&self) {
+        let now = self.now();
+        let to: Vec<NodeId> = {
+            let mut relaying = self.relaying.borrow_mut();
+            relaying.retain(|_, at| now.since(*at) < 5_000);
+            relaying.keys().copied().collect()
+        };
+        for node in to {
+            let message = {
+                let core = self.core.borrow();
+                let plan = core.lead.as_ref().and_then(|l| l.plan_for(node, now));
+                plan.zip(core.ledger.lead_guard())
+            };
+            if let Some((plan, guard)) = message {
+                self.relay(node, guard, &peer::encode(&plan)).await;
+            }
+        }
+    }
+
+    // ---- leading ----
+
+    async fn lead(self: Rc<Self>) {
+        let mut relayed = self.now();
+        let mut described = self.now();
+        loop {
+            let _ = timeout(EPOCH, self.wake_lead.notified()).await;
+            self.lead_once().await;
+            let now = self.now();
+            if now.since(relayed) >= RELAY.as_millis() as u64 {
+                relayed = now;
+                self.relay_plans().await;
+            }
+            if now.since(described) >= 10_000 {
+                described = now;
+                self.describe();
+            }
+            sleep(EPOCH_LEAST).await;
+        }
+    }
+
+    fn describe(&self) {
+        let core = self.core.borrow();
+        if let Some(lead) = &core.lead {
+            let (now, wall) = (self.now(), self.wall());
+            let ctx = context(self, &core.ledger, &core.rights, &core.flavors, now, wall);
+            info!(term = %lead.term, state = %lead.describe(&ctx), "epoch");
+        }
+    }
+
+    async fn lead_once(&self) {
+        let (now, wall) = (self.now(), self.wall());
+        let (epoch, term) = {
+            let mut core = self.core.borrow_mut();
+            let core = &mut *core;
+            if !core.rights.may_lead(now) {
+                return;
+            }
+            let Some(lead) = &mut core.lead else { return };
+            let ctx = context(self, &core.ledger, &core.rights, &core.flavors, now, wall);
+            (lead.epoch(&ctx), lead.term)
+        };
+        let renew = {
+            let core = self.core.borrow();
+            core.lead.as_ref().and_then(|l| l.renew_term)
+        };
+        if let Some(reason) = renew {
+            info!(%term, reason, "taking a new term");
+            if let Err(e) = self.take_lead().await {
+                debug!(error = %e, "new term undecided");
+            }
+            return;
+        }
+        if let Some(txn) = &epoch.txn {
+            match self.store.commit(txn).await {
+                Ok(Committed::Yes(stamp)) => self.apply_own(txn, stamp),
+                Ok(Committed::No(failed)) => {
+                    debug!(?failed, "epoch not written");
+                    let _ = self.pull(Duration::ZERO).await;
+                    return;
+                }
+                Err(e) => {
+                    debug!(error = %e, "epoch not written");
+                    return;
+                }
+            }
+        }
+        let (now, wall) = (self.now(), self.wall());
+        let mut core = self.core.borrow_mut();
+        let core = &mut *core;
+        let Some(lead) = &mut core.lead else { return };
+        if lead.term != term {
+            return;
+        }
+        let ctx = context(self, &core.ledger, &core.rights, &core.flavors, now, wall);
+        let granted = !epoch.is_empty();
+        lead.publish(&ctx, epoch);
+        if granted {
+            self.wake_part.notify_one();
+        }
+    }
+
+    /// Takes over what a transaction of this node just made durable.
+    fn apply_own(&self, txn: &Txn, stamp: Revision) {
+        let mut brought = Brought::default();
+        let mut core = self.core.borrow_mut();
+        for change in &txn.apply {
+            if let Change::Set { path, value, .. } = change {
+                let item = Item {
+                    path: path.clone(),
+                    v: value.clone(),
+                    stamp,
+                };
+                core.ledger.load(&item, &mut brought);
+            }
+        }
+        drop(core);
+        self.note(&brought);
+    }
+
+    // ---- the cloud ----
+
+    async fn rent_and_return(self: Rc<Self>) {
+        let mut priced: Option<Steady> = None;
+        let mut listed = Steady(0);
+        let mut open: Option<(Rental, Offer)> = None;
+        let mut counter = 0u32;
+        loop {
+            sleep(Duration::from_millis(400)).await;
+            let leading = {
+                let core = self.core.borrow();
+                core.lead
+                    .as_ref()
+                    .filter(|_| core.rights.may_lead(self.now()))
+                    .map(|l| l.term)
+            };
+            let known = !self.core.borrow().flavors.is_empty();
+            let due = priced.is_none_or(|at| self.now().since(at) > 30_000);
+            if !known || (leading.is_some() && due) {
+                if self.read_flavors(leading.is_some()).await {
+                    priced = Some(self.now());
+                } else {
+                    sleep(Duration::from_millis(600)).await;
+                }
+            }
+            let Some(term) = leading else {
+                // A rental that is still open shows up in the list for the next leader.
+                open = None;
+                continue;
+            };
+            self.return_machines().await;
+            if open.is_none() {
+                open = self.next_rental(term, &mut counter);
+            }
+            if let Some((rental, offer)) = &open
+                && self.rent(rental, offer).await
+            {
+                open = None;
+            }
+            let lag = (self.settings.params.cloud.list_lag_s * 1000.0) as u64;
+            if self.now().since(listed) > lag.clamp(2_000, 10_000) {
+                listed = self.now();
+                self.read_list().await;
+            }
+        }
+    }
+
+    async fn read_flavors(&self, leading: bool) -> bool {
+        let Ok(got) = self.cloud.flavors().await else {
+            return false;
+        };
+        let mut core = self.core.borrow_mut();
+        core.flavors = got
+            .hulls
+            .iter()
+            .map(|f| (f.sku.clone(), f.clone()))
+            .collect();
+        // The types are kept in the store for controllers that start while the cloud is down.
+        let guard = core
+            .ledger
+            .lead_guard()
+            .filter(|_| leading && core.ledger.flavors.is_none());
+        drop(core);
+        if let Some(guard) = guard {
+            let txn = Txn {
+                guards: vec![guard],
+                apply: vec![Change::Set {
+                    path: ledger::FLAVORS_KEY.into(),
+                    value: wire::to_value(&got),
+                    lease: None,
+                }],
+            };
+            let _ = self.store.commit(&txn).await;
+        }
+        true
+    }
+
+    fn next_rental(&self, term: Term, counter: &mut u32) -> Option<(Rental, Offer)> {
+        let core = self.core.borrow();
+        let (offer, number) = core.lead.as_ref()?.to_rent()?;
+        *counter += 1;
+        let rental = Rental {
+            hire: format!("r-{term}-{}-{counter}", self.life),
+            hull: offer.hull.clone(),
+            yard: offer.zone.clone(),
+            loaners: offer.spot,
+            number: number.min(50),
+        };
+        Some((rental, offer))
+    }
+
+    /// Makes a rental; true once its outcome is known.
+    async fn rent(&self, rental: &Rental, offer: &Offer) -> bool {
+        let result = self.cloud.rent(rental).await;
+        let now = self.now();
+        let mut core = self.core.borrow_mut();
+        let Some(lead) = &mut core.lead else {
+            return !matches!(result, Err(CloudError::Unknown | CloudError::Refused(_)));
+        };
+        let known = match result {
+            Ok(ids) => {
+                info!(hull = %offer.hull, zone = %offer.zone, spot = offer.spot, asked = rental.number, got = ids.len(), "rented");
+                if (ids.len() as u32) < rental.number {
+                    lead.market.refused(offer, now);
+                }
+                lead.rented(now, &ids, offer);
+                true
+            }
+            Err(CloudError::NoCapacity) => {
+                debug!(hull = %offer.hull, zone = %offer.zone, spot = offer.spot, "none to be had");
+                lead.market.refused(offer, now);
+                true
+            }
+            Err(CloudError::Refused(400)) => {
+                error!(?rental, "rental refused as malformed");
+                lead.market.refused(offer, now);
+                true
+            }
+            Err(_) => false,
+        };
+        if known {
+            lead.forget_rental(offer);
+            self.wake_lead.notify_one();
+        }
+        known
+    }
+
+    async fn return_machines(&self) {
+        let (now, wall) = (self.now(), self.wall());
+        let ids = {
+            let core = self.core.borrow();
+            let Some(lead) = &core.lead else { return };
+            let ctx = context(self, &core.ledger, &core.rights, &core.flavors, now, wall);
+            lead.to_return(&ctx)
+        };
+        if ids.is_empty() {
+            return;
+        }
+        if self.cloud.give_back(&ids).await.is_ok() {
+            info!(machines = ?ids.iter().map(|i| i.to_string()).collect::<Vec<_>>(), "returned");
+            if let Some(lead) = &mut self.core.borrow_mut().lead {
+                lead.machines_gone(&ids);
+            }
+            self.wake_lead.notify_one();
+        }
+    }
+
+    async fn read_list(&self) {
+        let mut after = None;
+        loop {
+            let Ok(page) = self.cloud.list(after.as_ref()).await else {
+                return;
+            };
+            after = page.hosts.last().map(|h| h.r#ref.clone());
+            let (now, wall) = (self.now(), self.wall());
+            let mut core = self.core.borrow_mut();
+            let core = &mut *core;
+            let Some(lead) = &mut core.lead else { return };
+            let ctx = context(self, &core.ledger, &core.rights, &core.flavors, now, wall);
+            for host in &page.hosts {
+                lead.listed(&ctx, host);
+            }
+            if !page.truncated || after.is_none() {
+                return;
+            }
+        }
+    }
+
+    // ---- durable writes ----
+
+    /// Writes finished tasks to the store, many jobs at a time.
+    async fn write_finished(self: Rc<Self>) {
+        loop {
+            let _ = timeout(Duration::from_millis(500), self.wake_finish.notified()).await;
+            while let Some(txn) = self.finished_txn() {
+                match self.store.commit(&txn).await {
+                    Ok(Committed::Yes(stamp)) => self.apply_own(&txn, stamp),
+                    Ok(Committed::No(_)) | Err(StateError::Unknown) => {
+                        if self.pull(Duration::ZERO).await.is_err() {
+                            sleep(Duration::from_millis(200)).await;
+                        }
+                    }
+                    Err(_) => sleep(Duration::from_millis(300)).await,
+                }
+            }
+        }
+    }
+
+    fn finished_txn(&self) -> Option<Txn> {
+        let mut core = self.core.borrow_mut();
+        let core = &mut *core;
+        if !core.loaded {
+            return None;
+        }
+        core.part.tidy(&core.ledger);
+        let mut txn = Txn::default();
+        for (id, tasks) in &core.part.finished {
+            if txn.apply.len() >= self.settings.params.state.txn_ops {
+                break;
+            }
+            let Some(job) = core.ledger.jobs.get(id) else {
+                continue;
+            };
+            let Some(progress) = Ledger::with_done(job, tasks.iter().copied()) else {
+                continue;
+            };
+            txn.guards.push(Guard {
+                path: ledger::progress_key(*id),
+                stamp: job.progress_stamp,
+            });
+            txn.apply.push(Change::Set {
+                path: ledger::progress_key(*id),
+                value: wire::to_value(&progress),
+                lease: None,
+            });
+        }
+        (!txn.apply.is_empty()).then_some(txn)
+    }
+
+    /// Queues a submission for the next group commit and waits for what becomes of it.
+    pub(crate) async fn accept(&self, spec: JobSpec) -> Accepting {
+        let (tx, rx) = oneshot::channel();
+        self.accepts.borrow_mut().push((spec, tx));
+        self.wake_accept.notify_one();
+        rx.await.unwrap_or(Accepting::Failed)
+    }
+
+    async fn write_accepted(self: Rc<Self>) {
+        loop {
+            self.wake_accept.notified().await;
+            loop {
+                let batch: Vec<Submission> = {
+                    let mut queue = self.accepts.borrow_mut();
+                    let n = queue.len().min(self.settings.params.state.txn_ops);
+                    queue.drain(..n).collect()
+                };
+                if batch.is_empty() {
+                    break;
+                }
+                let s = self.clone();
+                spawn_local(async move { s.commit_batch(batch).await });
+            }
+        }
+    }
+
+    /// Commits submissions together. Those whose key exists already are known jobs, or this
+    /// very submission carried out by a request whose answer was lost.
+    async fn commit_batch(&self, mut batch: Vec<Submission>) {
+        for _ in 0..4 {
+            if batch.is_empty() {
+                return;
+            }
+            let txn = self.accept_txn(&batch);
+            match self
+                .store
+                .commit_hedged(&txn, Duration::from_millis(60))
+                .await
+            {
+                Ok(Committed::Yes(stamp)) => {
+                    self.apply_own(&txn, stamp);
+                    for (_, tx) in batch {
+                        let _ = tx.send(Accepting::New);
+                    }
+                    return;
+                }
+                Ok(Committed::No(failed)) => {
+                    let (known, rest) = batch
+                        .into_iter()
+                        .partition(|(spec, _)| failed.contains(&ledger::job_key(spec.r#ref)));
+                    batch = rest;
+                    let known: Vec<Submission> = known;
+                    for (_, tx) in known {
+                        let _ = tx.send(Accepting::Known);
+                    }
+                }
+                Err(e) => {
+                    debug!(error = %e, "submissions not written");
+                    break;
+                }
+            }
+        }
+        for (_, tx) in batch {
+            let _ = tx.send(Accepting::Failed);
+        }
+    }
+
+    fn accept_txn(&self, batch: &[Submission]) -> Txn {
+        let at = self.wall();
+        let mut txn = Txn::default();
+        for (spec, _) in batch {
+            let path = ledger::job_key(spec.r#ref);
+            if txn.guards.iter().any(|g| g.path == path) {
+                continue;
+            }
+            txn.guards.push(Guard {
+                path: path.clone(),
+                stamp: Revision(0),
+            });
+            let accepted = ledger::Accepted {
+                spec: spec.clone(),
+                at,
+            };
+            txn.apply.push(Change::Set {
+                path,
+                value: wire::to_value(&accepted),
+                lease: None,
+            });
+        }
+        txn
+    }
+
+    /// Cancels a job durably: `Ok(true)` if it is cancelled now, `Ok(false)` if its progress
+    /// changed meanwhile and the caller has to look again.
+    pub(crate) async fn write_cancelled(&self, id: JobId) -> Result<bool, StateError> {
+        let txn = {
+            let core = self.core.borrow();
+            let Some(job) = core.ledger.jobs.get(&id) else {
+                return Ok(false);
+            };
+            let progress = ledger::Progress {
+                end: Some(wire::JobStage::Withdrawn),
+                done: job.progress.done.clone(),
+            };
+            let path = ledger::progress_key(id);
+            Txn {
+                guards: vec![Guard {
+                    path: path.clone(),
+                    stamp: job.progress_stamp,
+                }],
+                apply: vec![Change::Set {
+                    path,
+                    value: wire::to_value(&progress),
+                    lease: None,
+                }],
+            }
+        };
+        match self
+            .store
+            .commit_hedged(&txn, Duration::from_millis(150))
+            .await?
+        {
+            Committed::Yes(stamp) => {
+                self.apply_own(&txn, stamp);
+                Ok(true)
+            }
+            Committed::No(_) => Ok(false),
+        }
+    }
+}
+
+fn context<'a>(
+    s: &'a Service,
+    ledger: &'a Ledger,
+    rights: &Rights,
+    flavors: &'a Flavors,
+    now: Steady,
+    wall: Wall,
+) -> Context<'a> {
+    Context {
+        now,
+        wall,
+        ledger,
+        synced: rights.synced_at().unwrap_or_default(),
+        flavors,
+        settings: &s.settings,
+        nodes: &s.nodes,
+    }
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,273 @@
+//! Client of the state service: reads, transactions, leases and watches, kept within this
+//! controller's part of the budgets.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use thiserror::Error;
+use tokio::time::Instant;
+
+use crate::config::StateLimits;
+use crate::http::{Answer, CallError, Client};
+use crate::model::{Revision, StoreLease};
+use crate::wire::{self, Changes, Item, Items, LeaseName, LeaseTime, Txn, TxnAnswer};
+
+/// Why the state service gave no answer that can be used.
+#[derive(Debug, Error, Clone, PartialEq, Eq)]
+pub enum StateError {
+    /// The request was certainly not carried out.
+    #[error("refused ({0})")]
+    Refused(u16),
+    /// The request may have been carried out, or may still be.
+    #[error("no answer")]
+    Unknown,
+    /// The lease named in the request has ended.
+    #[error("no such lease")]
+    NoLease,
+    /// The changes asked for are no longer kept.
+    #[error("changes too old")]
+    TooOld,
+    /// The request is wrong, which is a defect here.
+    #[error("malformed ({0})")]
+    Malformed(u16),
+}
+
+/// What became of a transaction.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Committed {
+    /// Carried out at this revision.
+    Yes(Revision),
+    /// These keys did not have the version they should have.
+    No(Vec<String>),
+}
+
+/// A bucket of allowances that refills steadily.
+#[derive(Debug)]
+pub struct Bucket {
+    rate: f64,
+    burst: f64,
+    level: f64,
+    at: Instant,
+}
+
+impl Bucket {
+    /// A full bucket.
+    pub fn new(rate: f64, burst: f64, now: Instant) -> Self {
+        Bucket {
+            rate,
+            burst: burst.max(1.0),
+            level: burst.max(1.0),
+            at: now,
+        }
+    }
+    /// Takes `n`, going into debt if need be, and says how long to wait for that.
+    pub fn take(&mut self, n: f64, now: Instant) -> Duration {
+        let gone = now.saturating_duration_since(self.at).as_secs_f64();
+        self.level = (self.level + gone * self.rate).min(self.burst);
+        self.at = now;
+        self.level -= n;
+        if self.level >= 0.0 {
+            Duration::ZERO
+        } else {
+            Duration::from_secs_f64((-self.level / self.rate).min(5.0))
+        }
+    }
+}
+
+/// The client.
+pub struct StateClient {
+    http: Client,
+    watch: Client,
+    requests: RefCell<Bucket>,
+    writes: RefCell<Bucket>,
+    limit: Duration,
+}
+
+impl StateClient {
+    /// A client that uses one `nodes`th of the budgets.
+    pub fn new(addr: SocketAddr, limits: &StateLimits, nodes: u32) -> Self {
+        let share = 0.85 / f64::from(nodes.max(1));
+        let now = Instant::now();
+        let (r, w) = (limits.rps * share, limits.write_rps * share);
+        StateClient {
+            http: Client::new(addr, 4 << 20),
+            watch: Client::new(addr, 8 << 20),
+            requests: RefCell::new(Bucket::new(r, r, now)),
+            writes: RefCell::new(Bucket::new(w, w, now)),
+            limit: Duration::from_millis(1500),
+        }
+    }
+
+    async fn call(&self, method: &str, path: &str, body: &[u8]) -> Result<Answer, StateError> {
+        self.pace(0).await;
+        Self::checked(self.http.call(method, path, body, self.limit).await)
+    }
+
+    async fn pace(&self, changes: usize) {
+        let now = Instant::now();
+        let mut wait = self.requests.borrow_mut().take(1.0, now);
+        if changes > 0 {
+            wait = wait.max(self.writes.borrow_mut().take(changes as f64, now));
+        }
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
+        }
+    }
+
+    fn checked(answer: Result<Answer, CallError>) -> Result<Answer, StateError> {
+        match answer {
+            Ok(a) if matches!(a.status, 200 | 404 | 409) => Ok(a),
+            Ok(a) if a.status == 410 => Err(StateError::TooOld),
+            Ok(a) if a.status == 400 => {
+                if String::from_utf8_lossy(&a.body).contains("no such lease") {
+                    Err(StateError::NoLease)
+                } else {
+                    Err(StateError::Malformed(400))
+                }
+            }
+            Ok(a) => Err(StateError::Refused(a.status)),
+            Err(CallError::Connect) => Err(StateError::Refused(0)),
+            Err(_) => Err(StateError::Unknown),
+        }
+    }
+
+    fn body<T: serde::de::DeserializeOwned>(answer: &Answer) -> Result<T, StateError> {
+        wire::decode(&answer.body).map_err(|_| StateError::Malformed(answer.status))
+    }
+
+    /// Reads one key; `None` if it does not exist.
+    pub async fn get(&self, key: &str) -> Result<Option<Item>, StateError> {
+        let answer = self.call("GET", &format!("/keys/{key}"), &[]).await?;
+        if answer.status == 404 {
+            return Ok(None);
+        }
+        Self::body(&answer).map(Some)
+    }
+
+    /// Reads a page of the keys with a prefix.
+    pub async fn page(&self, prefix: &str, after: Option<&str>) -> Result<Items, StateError> {
+        let mut path = format!("/keys?Starts={prefix}&Limit=500");
+        if let Some(after) = after {
+            path.push_str("&After=");
+            path.push_str(after);
+        }
+        Self::body(&self.call("GET", &path, &[]).await?)
+    }
+
+    /// Carries out a transaction. Every caller guards it, so that a late or second
+    /// execution changes nothing.
+    pub async fn commit(&self, txn: &Txn) -> Result<Committed, StateError> {
+        self.pace(txn.apply.len()).await;
+        self.send(txn).await
+    }
+
+    async fn send(&self, txn: &Txn) -> Result<Committed, StateError> {
+        let body = wire::encode(txn);
+        let answer = Self::checked(self.http.call("POST", "/multi", &body, self.limit).await)?;
+        let told: TxnAnswer = Self::body(&answer)?;
+        Ok(if answer.status == 200 {
+            Committed::Yes(told.epoch)
+        } else {
+            Committed::No(told.failed)
+        })
+    }
+
+    /// Like [`commit`](Self::commit), but asks a second time on another connection when the
+    /// first answer is slow. The answer that comes first counts, unless it is a conflict
+    /// while the other request is still out: that may have been this very transaction, and
+    /// the caller looks the keys up to learn which.
+    pub async fn commit_hedged(&self, txn: &Txn, after: Duration) -> Result<Committed, StateError> {
+        self.pace(txn.apply.len()).await;
+        let first = self.send(txn);
+        tokio::pin!(first);
+        if let Ok(done) = tokio::time::timeout(after, &mut first).await {
+            return done;
+        }
+        self.pace(txn.apply.len()).await;
+        let second = self.send(txn);
+        tokio::pin!(second);
+        tokio::select! {
+            r = &mut first => match r { Err(_) => second.await, ok => ok },
+            r = &mut second => match r { Err(_) => first.await, ok => ok },
+        }
+    }
+
+    /// Waits for changes after a revision.
+    pub async fn changes(&self, after: Revision, wait: Duration) -> Result<Changes, StateError> {
+        self.pace(0).await;
+        let path = format!("/changes?Starts=&After={after}&WaitMs={}", wait.as_millis());
+        let limit = wait + self.limit;
+        let client = if wait.is_zero() {
+            &self.http
+        } else {
+            &self.watch
+        };
+        Self::body(&Self::checked(client.call("GET", &path, &[], limit).await)?)
+    }
+
+    /// Takes a new lease.
+    pub async fn grant(&self, ttl_ms: u64) -> Result<StoreLease, StateError> {
+        let body = wire::encode(&LeaseTime { ttl_ms });
+        let answer = self.call("POST", "/leases", &body).await?;
+        Ok(Self::body::<LeaseName>(&answer)?.tenancy)
+    }
+
+    /// Renews a lease.
+    pub async fn renew(&self, lease: StoreLease) -> Result<(), StateError> {
+        // A renewal in the queue behind others is worth less than none: it is sent at once.
+        self.requests.borrow_mut().take(1.0, Instant::now());
+        let path = format!("/leases/{lease}/renew");
+        let limit = Duration::from_millis(900);
+        let answer = Self::checked(self.http.call("POST", &path, &[], limit).await)?;
+        if answer.status == 404 {
+            return Err(StateError::NoLease);
+        }
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use ciborium::cbor;
+
+    #[test]
+    fn a_bucket_allows_its_burst_and_then_its_rate() {
+        let start = Instant::now();
+        let mut bucket = Bucket::new(10.0, 2.0, start);
+        assert_eq!(bucket.take(2.0, start), Duration::ZERO);
+        assert_eq!(bucket.take(1.0, start), Duration::from_millis(100));
+        let later = start + Duration::from_secs(60);
+        assert_eq!(bucket.take(2.0, later), Duration::ZERO);
+        assert_eq!(bucket.take(1.0, later), Duration::from_millis(100));
+    }
+
+    #[test]
+    fn statuses_say_whether_a_request_was_carried_out() {
+        let answer = |status, body: &[u8]| {
+            Ok(Answer {
+                status,
+                body: body.to_vec(),
+                retry_after: None,
+            })
+        };
+        let lease = wire::encode(&cbor!({"error" => "no such lease"}).unwrap());
+        let cases = [
+            (answer(503, b""), Some(StateError::Refused(503))),
+            (answer(429, b""), Some(StateError::Refused(429))),
+            (answer(410, b""), Some(StateError::TooOld)),
+            (answer(400, &lease), Some(StateError::NoLease)),
+            (answer(400, b""), Some(StateError::Malformed(400))),
+            (Err(CallError::Connect), Some(StateError::Refused(0))),
+            (Err(CallError::Timeout), Some(StateError::Unknown)),
+            (Err(CallError::Broken), Some(StateError::Unknown)),
+            (answer(409, b""), None),
+            (answer(404, b""), None),
+        ];
+        for (given, want) in cases {
+            let text = format!("{given:?}");
+            assert_eq!(StateClient::checked(given).err(), want, "{text}");
+        }
+    }
+}
--- /dev/null
+++ b/src/term.rs
@@ -0,0 +1,152 @@
+//! The right to answer and to lead, counted from when a confirmed request was sent.
+
+use crate::model::{Attempt, NodeId, Steady, StoreLease, Term};
+
+/// Steady clocks drift apart by at most 0.05%; twice that is taken off every right.
+pub fn less_drift(ms: u64) -> u64 {
+    ms - ms / 1000
+}
+
+/// The same added to every wait for somebody else's right to end.
+pub fn plus_drift(ms: u64) -> u64 {
+    ms + ms / 1000 + 1
+}
+
+/// Time to live of a controller's lease in the state service. Leadership ends with it.
+pub const LEASE_MS: u64 = 3_000;
+
+/// What this node may do, as its own clock says.
+#[derive(Clone, Debug, Default)]
+pub struct Rights {
+    keep_alive_ms: u64,
+    /// The lease that this node's key hangs on.
+    pub lease: Option<StoreLease>,
+    renewed: Option<Steady>,
+    synced: Option<Steady>,
+}
+
+impl Rights {
+    /// No rights yet; `keep_alive_ms` is how long a proof of being current lasts.
+    pub fn new(keep_alive_ms: u64) -> Self {
+        Rights {
+            keep_alive_ms,
+            ..Rights::default()
+        }
+    }
+
+    /// A renewal of the lease that holds this node's key was confirmed; it was sent then.
+    pub fn confirm_renewal(&mut self, sent: Steady) {
+        self.renewed = self.renewed.max(Some(sent));
+    }
+
+    /// The replica was confirmed to be current; the request was sent then.
+    pub fn confirm_sync(&mut self, sent: Steady) {
+        self.synced = self.synced.max(Some(sent));
+    }
+
+    /// The lease is gone: whatever hung on it is, too. Being current still holds for a while.
+    pub fn lose_lease(&mut self) {
+        self.lease = None;
+    }
+
+    /// Whether reports may be answered with 200. Both proofs count: without news of
+    /// cancellations a worker must not be kept alive beyond `cancel_s` less its lease, and a
+    /// leader takes an absent node's last renewal for the start of its last right.
+    pub fn may_answer(&self, now: Steady) -> bool {
+        match (self.renewed, self.synced) {
+            (Some(r), Some(s)) => now < r.min(s).plus(less_drift(self.keep_alive_ms)),
+            _ => false,
+        }
+    }
+
+    /// Whether this node may still take itself for the leader, if it was elected.
+    pub fn may_lead(&self, now: Steady) -> bool {
+        self.lease.is_some()
+            && self
+                .renewed
+                .is_some_and(|r| now < r.plus(less_drift(LEASE_MS).saturating_sub(100)))
+    }
+
+    /// Milliseconds since the replica was known to be current.
+    pub fn sync_age(&self, now: Steady) -> Option<u64> {
+        self.synced.map(|s| now.since(s))
+    }
+
+    /// When the replica was last known to be current.
+    pub fn synced_at(&self) -> Option<Steady> {
+        self.synced
+    }
+}
+
+/// The latest moment, by the leader's clock, at which a node whose key is absent since
+/// `absent` can have answered a report: its last renewal was a whole lease earlier.
+pub fn last_right(absent: Steady, keep_alive_ms: u64) -> Steady {
+    absent
+        .less(less_drift(LEASE_MS))
+        .plus(plus_drift(keep_alive_ms))
+}
+
+/// Gives out attempts of a node within a term.
+#[derive(Clone, Debug)]
+pub struct Attempts {
+    term: Term,
+    node: NodeId,
+    n: u32,
+}
+
+impl Attempts {
+    /// Starts counting for a term.
+    pub fn new(term: Term, node: NodeId) -> Self {
+        Attempts { term, node, n: 0 }
+    }
+    /// The next attempt.
+    pub fn next(&mut self) -> Attempt {
+        self.n += 1;
+        Attempt::of(self.term, self.node, self.n)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn rights_count_from_the_sending_of_what_was_confirmed() {
+        // (renewed, synced, now, may answer, may lead), with a keep-alive of 18 s
+        let cases = [
+            (None, None, 0, false, false),
+            (Some(1_000), None, 1_001, false, true),
+            (None, Some(1_000), 1_001, false, false),
+            (Some(1_000), Some(1_000), 3_800, true, true),
+            (Some(1_000), Some(1_000), 3_900, true, false),
+            (Some(1_000), Some(9_000), 18_900, true, false),
+            (Some(1_000), Some(9_000), 18_990, false, false),
+            (Some(9_000), Some(1_000), 18_990, false, false),
+        ];
+        for (renewed, synced, now, answer, lead) in cases {
+            let mut r = Rights::new(18_000);
+            r.lease = Some(StoreLease(1));
+            if let Some(t) = renewed {
+                r.confirm_renewal(Steady(t));
+                r.confirm_renewal(Steady(t / 2));
+            }
+            if let Some(t) = synced {
+                r.confirm_sync(Steady(t));
+            }
+            let got = (r.may_answer(Steady(now)), r.may_lead(Steady(now)));
+            assert_eq!(got, (answer, lead), "{renewed:?} {synced:?} {now}");
+            r.lose_lease();
+            assert!(!r.may_lead(Steady(now)));
+        }
+    }
+
+    #[test]
+    fn an_absent_nodes_right_is_bounded_from_above() {
+        // A node renews at 0 at the latest, its key vanishes at 3 s at the earliest.
+        let bound = last_right(Steady(3_000), 18_000);
+        let mut r = Rights::new(18_000);
+        r.confirm_renewal(Steady(0));
+        r.confirm_sync(Steady(2_000));
+        assert!(!r.may_answer(bound));
+    }
+}
