--- a/src/admit.rs
+++ b/src/admit.rs
@@ -429,7 +429,7 @@
                 vec![demand(1, 3, 4, 2, 4), demand(2, 2, 4, 0, 2)],
                 8,
                 None,
-                (2, vec![(1, 2)]),
+                (3, vec![(1, 2), (2, 0)]),
             ),
             (
                 "the team's limit holds",
--- a/src/http.rs
+++ b/src/http.rs
@@ -227,7 +227,9 @@
     H: Fn(Request) -> F,
     F: Future<Output = Response>,
 {
-    stream.set_nodelay(true)?;
+    // A connection is as good without it: some systems refuse options on a connection whose
+    // other side has not sent anything yet.
+    let _ = stream.set_nodelay(true);
     let mut buf: Vec<u8> = Vec::new();
     loop {
         if buf.is_empty() {
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -195,19 +195,20 @@
         lead
     }
 
-    /// Takes a summary and returns the sender's plan, if it may have one.
-    pub fn on_summary(&mut self, now: Steady, s: Summary) -> Option<Plan> {
+    /// Takes a summary and returns the sender's plan, if it may have one, and whether the
+    /// summary tells anything that an epoch should look at soon.
+    pub fn on_summary(&mut self, now: Steady, s: Summary) -> (Option<Plan>, bool) {
         if s.term != self.term {
-            return None;
+            return (None, false);
         }
         if let Some(known) = self.nodes.get(&s.node) {
             if known.life != s.life {
                 // Its predecessor may have started tasks that nobody knows of.
                 self.renew_term.get_or_insert("a controller restarted");
-                return None;
+                return (None, true);
             }
             if s.number <= known.summary.number {
-                return None;
+                return (None, false);
             }
         }
         for (id, age) in &s.answered {
@@ -228,7 +229,9 @@
         self.revoked
             .retain(|t, r| r.node != s.node || s.followed < r.seq || held.contains(t));
         let node = s.node;
-        let plan = self.nodes.remove(&node).and_then(|n| n.plan);
+        let before = self.nodes.remove(&node);
+        let changed = before.as_ref().is_none_or(|n| differs(&n.summary, &s));
+        let plan = before.and_then(|n| n.plan);
         let mut answer = plan.clone();
         if let Some(p) = &mut answer {
             p.clock_ms = now.0;
@@ -242,7 +245,7 @@
                 plan,
             },
         );
-        answer
+        (answer, changed)
     }
 
     fn live(&self, now: Steady) -> Vec<NodeId> {
@@ -1339,6 +1342,22 @@
     }
 }
 
+/// Whether a summary tells of other tasks or machines than the one before.
+fn differs(a: &Summary, b: &Summary) -> bool {
+    let tasks = |s: &Summary| -> Vec<(TaskId, bool)> {
+        let all = s.machines.iter().flat_map(|m| &m.tasks);
+        all.map(|t| (t.task, t.stage == PieceStage::Fetching))
+            .collect()
+    };
+    let machines = |s: &Summary| -> Vec<(MachineId, bool, bool)> {
+        let all = s.machines.iter();
+        all.map(|m| (m.id.clone(), m.settled, m.warning_ms.is_some() || m.shunned))
+            .collect()
+    };
+    let strays = |s: &Summary| s.strays.iter().map(|m| m.id.clone()).collect::<Vec<_>>();
+    tasks(a) != tasks(b) || machines(a) != machines(b) || strays(a) != strays(b)
+}
+
 /// Highest-random-weight hashing of a machine over controllers.
 fn rendezvous(id: &MachineId, node: NodeId) -> u64 {
     let mut h: u64 = 0xcbf2_9ce4_8422_2325;
--- a/src/part.rs
+++ b/src/part.rs
@@ -89,7 +89,8 @@
     hull: String,
     zone: String,
     spot: bool,
-    first: Steady,
+    /// When it came back from being sent to its owner, which it cannot reach then.
+    back: Option<Steady>,
     last: Steady,
 }
 
@@ -179,6 +180,9 @@
         self.plan = None;
         self.grants.clear();
         self.drained.clear();
+        // Owners may change with the term, so nobody is known to be out of reach of his.
+        self.redirected.clear();
+        self.strays.clear();
         self.news = true;
     }
 
@@ -194,7 +198,10 @@
             }
             return false;
         }
-        self.owners = plan.owners.iter().cloned().collect();
+        let owners: HashMap<MachineId, NodeId> = plan.owners.iter().cloned().collect();
+        let before = std::mem::replace(&mut self.owners, owners);
+        self.redirected
+            .retain(|id, _| before.get(id) == self.owners.get(id));
         let (me, owners) = (self.me, &self.owners);
         // Whatever was on a machine that this part no longer has is its new owner's to tell,
         // or is gone with the machine.
@@ -222,7 +229,7 @@
         }
         match self.owners.get(&report.host).copied() {
             Some(owner) if owner == self.me => self.on_own_report(env, report),
-            Some(owner) if self.redirect(now, &report.host) => {
+            Some(owner) if self.redirects(now, &report.host) => {
                 match env.nodes.get(usize::from(owner.0)) {
                     Some(node) => ReportAnswer::Go(node.name.clone()),
                     None => ReportAnswer::Refuse,
@@ -234,39 +241,38 @@
 
     /// Whether a machine of another part is to be sent to its owner: yes, unless it was sent
     /// there lately and has come back, which means that it cannot reach the owner.
-    fn redirect(&mut self, now: Steady, id: &MachineId) -> bool {
-        let stray = self
-            .strays
-            .get(id)
-            .is_some_and(|s| now.since(s.last) < 6_000);
-        if stray {
-            return false;
-        }
-        match self.redirected.get(id) {
-            Some(at) if now.since(*at) < 8_000 => false,
-            _ => {
-                self.redirected.insert(id.clone(), now);
-                true
+    fn redirects(&mut self, now: Steady, id: &MachineId) -> bool {
+        let came_back = match self.redirected.get(id) {
+            Some(at) => now.since(*at) < 8_000,
+            None => self
+                .strays
+                .get(id)
+                .is_some_and(|s| s.back.is_some() && now.since(s.last) < 6_000),
+        };
+        if came_back {
+            if let Some(s) = self.strays.get_mut(id) {
+                s.back.get_or_insert(now);
             }
+            return false;
         }
+        self.redirected.insert(id.clone(), now);
+        true
     }
 
     /// Keeps a worker alive that this node does not own: no starts, but kills and news.
     fn on_stray_report(&mut self, env: &Surroundings<'_>, report: &Report) -> ReportAnswer {
         let now = env.now;
+        let owned = self.owners.contains_key(&report.host);
         let record = self.strays.entry(report.host.clone()).or_insert_with(|| {
             self.news = true;
             StrayRecord {
                 hull: report.hull.clone(),
                 zone: report.yard.clone(),
                 spot: report.loaners,
-                first: now,
+                back: owned.then_some(now),
                 last: now,
             }
         });
-        if now.since(record.last) > 6_000 {
-            record.first = now;
-        }
         record.last = now;
         self.note_finished(env.ledger, report);
         self.answered.insert(report.host.clone(), now);
@@ -573,7 +579,7 @@
                     zone: s.zone.clone(),
                     spot: s.spot,
                     silent_ms: now.since(s.last),
-                    since_ms: now.since(s.first),
+                    since_ms: s.back.map_or(0, |at| now.since(at)),
                 })
                 .collect(),
             failing: self
--- a/src/service.rs
+++ b/src/service.rs
@@ -579,8 +579,10 @@
         let Some(lead) = &mut core.lead else {
             return Tell::NotLeading(term);
         };
-        let plan = lead.on_summary(now, summary);
-        self.wake_lead.notify_one();
+        let (plan, changed) = lead.on_summary(now, summary);
+        if changed {
+            self.wake_lead.notify_one();
+        }
         match plan {
             Some(plan) => Tell::Plan(Box::new(plan)),
             None => Tell::NotLeading(term),
