--- a/src/admit.rs
+++ b/src/admit.rs
@@ -95,10 +95,7 @@
         let Some(found) = at_waterline(demands, bounds, waterline) else {
             continue;
         };
-        if best
-            .as_ref()
-            .is_none_or(|b| found.importance > b.importance)
-        {
+        if best.as_ref().is_none_or(|b| found.importance > b.importance) {
             best = Some(found);
         }
     }
@@ -117,12 +114,7 @@
         }
         room = room.less(need);
     }
-    Some(fill(
-        demands,
-        bounds,
-        waterline,
-        &choose_some(demands, bounds, waterline),
-    ))
+    Some(fill(demands, bounds, waterline, &choose_some(demands, bounds, waterline)))
 }
 
 /// The smallest share that makes admitting a job worth anything.
@@ -136,10 +128,7 @@
 /// Who is in with that waterline: all better ranks, jobs that already run, required jobs by
 /// rank, and jobs at the waterline by importance per core, while cores last.
 fn choose_some(demands: &[Demand], bounds: &Bounds, waterline: u32) -> Vec<bool> {
-    let mut inside: Vec<bool> = demands
-        .iter()
-        .map(|d| d.rank < waterline || d.min > 0)
-        .collect();
+    let mut inside: Vec<bool> = demands.iter().map(|d| d.rank < waterline || d.min > 0).collect();
     let mut room = bounds.held;
     for (d, _) in demands.iter().zip(&inside).filter(|(_, is_in)| **is_in) {
         room = room.less(Cores(d.cores.0 * u64::from(first_share(d))));
@@ -192,14 +181,8 @@
 /// Shares for the jobs that are in: running tasks first, then steps by dynamic programming
 /// against what the concave jobs would make of the same cores, then marginal gain.
 fn fill(demands: &[Demand], bounds: &Bounds, waterline: u32, inside: &[bool]) -> Admission {
-    let mut out = Admission {
-        waterline,
-        ..Admission::default()
-    };
-    let mut f = Filling {
-        room: bounds.held,
-        teams: bounds.teams.clone(),
-    };
+    let mut out = Admission { waterline, ..Admission::default() };
+    let mut f = Filling { room: bounds.held, teams: bounds.teams.clone() };
     let mut shares: Vec<u32> = vec![0; demands.len()];
     for (i, d) in demands.iter().enumerate() {
         if d.min > 0 {
@@ -273,11 +256,7 @@
 fn next_of(demands: &[Demand], i: usize, k: u32) -> Next {
     let d = &demands[i];
     let cores = d.cores.amount().max(0.001);
-    Next {
-        rank: d.rank,
-        per_core: gain(d, k) / cores,
-        index: i,
-    }
+    Next { rank: d.rank, per_core: gain(d, k) / cores, index: i }
 }
 
 fn fill_concave(demands: &[Demand], inside: &[bool], shares: &mut [u32], f: &mut Filling) {
@@ -331,10 +310,8 @@
         }
     }
     let rest = |used: usize| {
-        let mut left = Filling {
-            room: f.room.less(Cores(unit * used as u64)),
-            teams: f.teams.clone(),
-        };
+        let mut left =
+            Filling { room: f.room.less(Cores(unit * used as u64)), teams: f.teams.clone() };
         let mut s = shares.to_vec();
         fill_concave(demands, inside, &mut s, &mut left);
         (0..demands.len())
@@ -369,15 +346,10 @@
     }
 
     fn run(demands: &[Demand], held: u64, team: Option<u64>) -> (u32, Vec<(u64, u32)>) {
-        let bounds = Bounds {
-            held: Cores(held * 1000),
-            teams: vec![team.map(|c| Cores(c * 1000))],
-        };
+        let bounds =
+            Bounds { held: Cores(held * 1000), teams: vec![team.map(|c| Cores(c * 1000))] };
         let a = admit(demands, &bounds);
-        (
-            a.waterline,
-            a.shares.iter().map(|(j, s)| (j.0, *s)).collect(),
-        )
+        (a.waterline, a.shares.iter().map(|(j, s)| (j.0, *s)).collect())
     }
 
     #[test]
@@ -386,13 +358,7 @@
             f(&mut d);
             d
         };
-        type Case = (
-            &'static str,
-            Vec<Demand>,
-            u64,
-            Option<u64>,
-            (u32, Vec<(u64, u32)>),
-        );
+        type Case = (&'static str, Vec<Demand>, u64, Option<u64>, (u32, Vec<(u64, u32)>));
         let cases: Vec<Case> = vec![
             ("nobody", vec![], 10, None, (1, vec![])),
             (
@@ -404,11 +370,7 @@
             ),
             (
                 "worse ranks wait when the better do not all fit",
-                vec![
-                    demand(1, 2, 8, 0, 1),
-                    demand(2, 2, 8, 0, 1),
-                    demand(3, 3, 1, 0, 1),
-                ],
+                vec![demand(1, 2, 8, 0, 1), demand(2, 2, 8, 0, 1), demand(3, 3, 1, 0, 1)],
                 8,
                 None,
                 (2, vec![(1, 1)]),
@@ -440,20 +402,14 @@
             ),
             (
                 "the more important job fills first",
-                vec![
-                    demand(1, 2, 1, 0, 8),
-                    with(demand(2, 2, 1, 0, 6), |d| d.weight = 9.0),
-                ],
+                vec![demand(1, 2, 1, 0, 8), with(demand(2, 2, 1, 0, 6), |d| d.weight = 9.0)],
                 8,
                 None,
                 (2, vec![(1, 2), (2, 6)]),
             ),
             (
                 "a step runs whole or not at all",
-                vec![
-                    with(demand(1, 2, 1, 0, 6), |d| d.curve = Curve::Step),
-                    demand(2, 2, 1, 0, 4),
-                ],
+                vec![with(demand(1, 2, 1, 0, 6), |d| d.curve = Curve::Step), demand(2, 2, 1, 0, 4)],
                 8,
                 None,
                 (2, vec![(1, 6), (2, 2)]),
@@ -466,9 +422,8 @@
 
     #[test]
     fn ranks_are_revised_along_dependencies() {
-        let ranks: HashMap<JobId, u32> = [(1, 3), (2, 2), (3, 1), (4, 4)]
-            .map(|(j, r)| (JobId(j), r))
-            .into();
+        let ranks: HashMap<JobId, u32> =
+            [(1, 3), (2, 2), (3, 1), (4, 4)].map(|(j, r)| (JobId(j), r)).into();
         let needs = [(2, 1), (3, 2), (4, 1), (9, 1)].map(|(a, b)| (JobId(a), JobId(b)));
         let got = revised_ranks(&ranks, &needs);
         let got: Vec<u32> = (1..=4).map(|j| got[&JobId(j)]).collect();
--- a/src/api.rs
+++ b/src/api.rs
@@ -67,11 +67,7 @@
         let Some(id) = JobId::parse(id) else {
             return Response::empty(404);
         };
-        if abort {
-            self.abort(id, true).await
-        } else {
-            self.query(id, true).await
-        }
+        if abort { self.abort(id, true).await } else { self.query(id, true).await }
     }
 
     /// Ready while requests can be served here or handed over. When nobody reaches the
@@ -100,9 +96,7 @@
 
     fn others(&self) -> impl Iterator<Item = NodeId> + use<> {
         let me = self.me;
-        (0..self.nodes.len() as u8)
-            .map(NodeId)
-            .filter(move |n| *n != me)
+        (0..self.nodes.len() as u8).map(NodeId).filter(move |n| *n != me)
     }
 
     /// Hands a request over to controllers that may reach the store; the first useful answer
@@ -187,11 +181,7 @@
     }
 
     async fn or_hand_over(&self, may: bool, ask: Ask) -> Response {
-        if may {
-            self.hand_over(ask).await
-        } else {
-            Response::later(1)
-        }
+        if may { self.hand_over(ask).await } else { Response::later(1) }
     }
 
     fn fitness(&self, spec: &JobSpec) -> Fitness {
@@ -229,13 +219,7 @@
             JobStage::Withdrawn => Some("cancelled by its user".to_string()),
             _ => None,
         };
-        let answer = JobAnswer {
-            job: id,
-            stage,
-            done,
-            running: 0,
-            reason,
-        };
+        let answer = JobAnswer { job: id, stage, done, running: 0, reason };
         Some(Response::new(200, wire::encode(&answer)))
     }
 
@@ -251,11 +235,7 @@
             return Some(answer);
         }
         // Jobs that ended long ago are no longer in memory.
-        let progress = self
-            .store
-            .get(&crate::ledger::progress_key(id))
-            .await
-            .ok()?;
+        let progress = self.store.get(&crate::ledger::progress_key(id)).await.ok()?;
         if let Some(item) = progress {
             let mut brought = crate::ledger::Brought::default();
             self.core.borrow_mut().ledger.load(&item, &mut brought);
@@ -270,27 +250,14 @@
     fn open_answer(&self, id: JobId) -> Option<Response> {
         let core = self.core.borrow();
         let job = core.ledger.jobs.get(&id)?;
-        let standing = core
-            .part
-            .plan()
-            .and_then(|p| p.standings.iter().find(|s| s.job == id).copied());
+        let standing =
+            core.part.plan().and_then(|p| p.standings.iter().find(|s| s.job == id).copied());
         let done = job.progress.done.len();
-        let running = standing
-            .map_or(0, |s| s.running)
-            .min(job.spec.pieces - done);
-        let stage = if running > 0 {
-            JobStage::Running
-        } else {
-            JobStage::Pending
-        };
+        let running = standing.map_or(0, |s| s.running).min(job.spec.pieces - done);
+        let stage = if running > 0 { JobStage::Running } else { JobStage::Pending };
         let reason = standing.and_then(|s| describe(s.waits));
-        let answer = JobAnswer {
-            job: id,
-            stage,
-            done,
-            running,
-            reason: reason.map(str::to_string),
-        };
+        let answer =
+            JobAnswer { job: id, stage, done, running, reason: reason.map(str::to_string) };
         Some(Response::new(200, wire::encode(&answer)))
     }
 
--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -105,7 +105,7 @@
 
 /// How many tasks fit on an empty machine.
 fn slots(need: &Need, offered: &Need) -> u32 {
-    let per = |n: Cores, o: Cores| if n.0 == 0 { u64::MAX } else { o.0 / n.0 };
+    let per = |n: Cores, o: Cores| o.0.checked_div(n.0).unwrap_or(u64::MAX);
     per(need.cores, offered.cores)
         .min(per(need.memory, offered.memory))
         .min(per(need.accelerators, offered.accelerators))
@@ -141,11 +141,7 @@
     }
     keep_ready(now, flavors, wants, market, &mut bins, &mut rent, &per_zone);
     Decision {
-        retire: if rent.is_empty() {
-            retire(flavors, held, market)
-        } else {
-            Vec::new()
-        },
+        retire: if rent.is_empty() { retire(flavors, held, market) } else { Vec::new() },
         rent: rent.into_iter().collect(),
     }
 }
@@ -181,10 +177,7 @@
         else {
             return;
         };
-        let boot = flavors
-            .get(&offer.hull)
-            .map_or(60.0, |f| f.startup_s)
-            .max(1.0);
+        let boot = flavors.get(&offer.hull).map_or(60.0, |f| f.startup_s).max(1.0);
         let weight = (want.run_s / boot).clamp(0.3, 1.0);
         let fit = slots(&need, &offered).max(1);
         if f64::from(left) * weight < 0.5 * f64::from(fit.min(want.tasks)) && guard > 1 {
@@ -222,19 +215,11 @@
         }
         for zone in &f.yards {
             for spot in [true, false] {
-                let offer = Offer {
-                    hull: f.sku.clone(),
-                    zone: zone.clone(),
-                    spot,
-                };
+                let offer = Offer { hull: f.sku.clone(), zone: zone.clone(), spot };
                 if !allowed(spec, &offer.hull, zone, spot) || !market.open(&offer, now) {
                     continue;
                 }
-                let price = if spot {
-                    f.market_price * SPOT_RISK
-                } else {
-                    f.hourly
-                };
+                let price = if spot { f.market_price * SPOT_RISK } else { f.hourly };
                 let per_task = price / f64::from(fit.min(left.max(1)));
                 let crowd = per_zone(zone) + rent.get(&offer).copied().unwrap_or(0) as usize;
                 let better = best.as_ref().is_none_or(|(p, c, o, _)| {
@@ -268,12 +253,7 @@
     }
     let in_use = market.urgent_peak;
     let tasks = (in_use * READY_SHARE / need.cores.amount()).ceil() as u32;
-    let ready = Want {
-        spec: urgent.spec,
-        tasks,
-        run_s: f64::INFINITY,
-        urgent: true,
-    };
+    let ready = Want { spec: urgent.spec, tasks, run_s: f64::INFINITY, urgent: true };
     rent_for(now, flavors, &ready, market, bins, rent, per_zone);
 }
 
@@ -281,32 +261,17 @@
 /// the urgent work of the recent peak.
 fn retire(flavors: &Flavors, held: &[Held], market: &Market) -> Vec<MachineId> {
     let price = |o: &Offer| {
-        flavors.get(&o.hull).map_or(0.0, |f| {
-            (if o.spot { f.market_price } else { f.hourly }) / f.vcpus.max(0.001)
-        })
+        flavors
+            .get(&o.hull)
+            .map_or(0.0, |f| (if o.spot { f.market_price } else { f.hourly }) / f.vcpus.max(0.001))
     };
-    let mut free: f64 = held
-        .iter()
-        .filter(|h| !h.leaving)
-        .map(|h| h.free.cores.amount())
-        .sum();
+    let mut free: f64 = held.iter().filter(|h| !h.leaving).map(|h| h.free.cores.amount()).sum();
     let mut idle: Vec<&Held> = held
         .iter()
         .filter(|h| !h.leaving && !h.booting && h.age_s >= LEAST_PAID_S)
-        .filter(|h| {
-            h.idle_s
-                >= if h.offer.spot {
-                    IDLE_SPOT_S
-                } else {
-                    IDLE_ORDINARY_S
-                }
-        })
+        .filter(|h| h.idle_s >= if h.offer.spot { IDLE_SPOT_S } else { IDLE_ORDINARY_S })
         .collect();
-    idle.sort_by(|a, b| {
-        price(&b.offer)
-            .total_cmp(&price(&a.offer))
-            .then_with(|| a.id.cmp(&b.id))
-    });
+    idle.sort_by(|a, b| price(&b.offer).total_cmp(&price(&a.offer)).then_with(|| a.id.cmp(&b.id)));
     let mut out = Vec::new();
     for h in idle {
         if free - h.free.cores.amount() < market.urgent_peak * READY_SHARE {
@@ -325,16 +290,10 @@
     use crate::wire::tests::spec;
 
     fn flavors() -> Flavors {
-        [flavor("small", 8.0, 64.0)]
-            .map(|f| (f.sku.clone(), f))
-            .into()
+        [flavor("small", 8.0, 64.0)].map(|f| (f.sku.clone(), f)).into()
     }
     fn offer(zone: &str, spot: bool) -> Offer {
-        Offer {
-            hull: "small".into(),
-            zone: zone.into(),
-            spot,
-        }
+        Offer { hull: "small".into(), zone: zone.into(), spot }
     }
     fn held(id: &str, spot: bool, idle_s: f64) -> Held {
         Held {
@@ -351,12 +310,7 @@
     #[test]
     fn what_does_not_fit_is_rented_where_it_is_cheap() {
         let job = spec(1, 4); // 4 cores: two fit on a machine
-        let want = |tasks| Want {
-            spec: &job,
-            tasks,
-            run_s: 100.0,
-            urgent: false,
-        };
+        let want = |tasks| Want { spec: &job, tasks, run_s: 100.0, urgent: false };
         let count = |d: Decision| d.rent.iter().map(|r| r.1).sum::<u32>();
         let mut market = Market::default();
         let f = flavors();
@@ -365,26 +319,13 @@
         assert!(d.rent.iter().all(|(o, _)| o.spot));
         assert_eq!(d.rent.len(), 2, "spread over zones");
         assert_eq!(count(d), 2);
-        assert_eq!(
-            count(decide(
-                now,
-                &f,
-                &[held("n-1", true, 0.0)],
-                &[want(4)],
-                &market,
-                &[]
-            )),
-            1
-        );
+        assert_eq!(count(decide(now, &f, &[held("n-1", true, 0.0)], &[want(4)], &market, &[])), 1);
         let coming = [(offer("a", true), 2)];
         assert_eq!(count(decide(now, &f, &[], &[want(4)], &market, &coming)), 0);
         market.refused(&offer("a", true), now);
         market.refused(&offer("b", true), now);
         let d = decide(now, &f, &[], &[want(2)], &market, &[]);
-        assert!(
-            d.rent.iter().all(|(o, _)| !o.spot),
-            "ordinary ones when spot is refused"
-        );
+        assert!(d.rent.iter().all(|(o, _)| !o.spot), "ordinary ones when spot is refused");
         let d = decide(now.plus(REFUSED_MS), &f, &[], &[want(2)], &market, &[]);
         assert!(d.rent.iter().all(|(o, _)| o.spot), "refusals pass");
     }
@@ -394,11 +335,7 @@
         let f = flavors();
         let mut market = Market::default();
         let now = Steady(1_000);
-        let all = [
-            held("n-1", true, 70.0),
-            held("n-2", false, 70.0),
-            held("n-3", true, 10.0),
-        ];
+        let all = [held("n-1", true, 70.0), held("n-2", false, 70.0), held("n-3", true, 10.0)];
         let d = decide(now, &f, &all, &[], &market, &[]);
         assert_eq!(d.retire, [MachineId::new("n-2"), MachineId::new("n-1")]);
         market.note(now, Cores(16_000), Cores(16_000));
--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -74,20 +74,14 @@
     /// Rents machines. After anything but a definite answer the same request has to be
     /// repeated under the same name.
     pub async fn rent(&self, rental: &Rental) -> Result<Vec<MachineId>, CloudError> {
-        let answer = self
-            .call("POST", "/machines", &wire::encode(rental))
-            .await?;
+        let answer = self.call("POST", "/machines", &wire::encode(rental)).await?;
         Ok(Self::body::<Hosts>(&answer)?.hosts)
     }
 
     /// Returns machines; once this is `Ok`, they and all on them are gone.
     pub async fn give_back(&self, hosts: &[MachineId]) -> Result<(), CloudError> {
-        let body = wire::encode(&Hosts {
-            hosts: hosts.to_vec(),
-        });
-        self.call("POST", "/machines/return", &body)
-            .await
-            .map(|_| ())
+        let body = wire::encode(&Hosts { hosts: hosts.to_vec() });
+        self.call("POST", "/machines/return", &body).await.map(|_| ())
     }
 
     /// A page of the list of machines, which is old.
@@ -109,11 +103,7 @@
     fn answers_say_whether_a_rental_is_open() {
         let answer = |status, error: &str| {
             let body = wire::encode(&cbor!({"error" => error}).unwrap());
-            Ok(Answer {
-                status,
-                body,
-                retry_after: None,
-            })
+            Ok(Answer { status, body, retry_after: None })
         };
         let cases = [
             (answer(503, "no capacity"), CloudError::NoCapacity),
--- a/src/config.rs
+++ b/src/config.rs
@@ -187,11 +187,7 @@
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits {
-            cores: 1.0,
-            ram_mb: 256.0,
-            sockets: 1024,
-        }
+        Limits { cores: 1.0, ram_mb: 256.0, sockets: 1024 }
     }
 }
 
@@ -209,10 +205,8 @@
 impl Settings {
     /// Reads and checks a settings file.
     pub fn load(path: &Path) -> Result<Self, ConfigError> {
-        let text = std::fs::read_to_string(path).map_err(|source| ConfigError::Read {
-            path: path.display().to_string(),
-            source,
-        })?;
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| ConfigError::Read { path: path.display().to_string(), source })?;
         Self::parse(&text)
     }
 
@@ -226,20 +220,14 @@
 
     fn check(&self) -> Result<(), ConfigError> {
         let bad = |field: &str, why: &str| {
-            Err(ConfigError::Field {
-                field: field.to_string(),
-                why: why.to_string(),
-            })
+            Err(ConfigError::Field { field: field.to_string(), why: why.to_string() })
         };
         if self.node_name.is_empty() {
             return bad("node_name", "is empty");
         }
         let p = &self.params;
         if p.nodes as usize != self.known.len() + 1 {
-            return bad(
-                "params.nodes",
-                "does not match the controllers listed in known",
-            );
+            return bad("params.nodes", "does not match the controllers listed in known");
         }
         if p.nodes > 32 {
             return bad("params.nodes", "more than 32 controllers are not supported");
@@ -293,11 +281,7 @@
         let mut nodes: Vec<NodeInfo> = self
             .known
             .iter()
-            .map(|k| NodeInfo {
-                name: k.node_name.clone(),
-                zone: k.site.clone(),
-                back: k.address,
-            })
+            .map(|k| NodeInfo { name: k.node_name.clone(), zone: k.site.clone(), back: k.address })
             .collect();
         nodes.push(NodeInfo {
             name: self.node_name.clone(),
@@ -305,10 +289,7 @@
             back: self.back,
         });
         nodes.sort_by(|a, b| a.name.cmp(&b.name));
-        let me = nodes
-            .iter()
-            .position(|n| n.name == self.node_name)
-            .unwrap_or(0);
+        let me = nodes.iter().position(|n| n.name == self.node_name).unwrap_or(0);
         (nodes, NodeId(me as u8))
     }
 
--- a/src/http.rs
+++ b/src/http.rs
@@ -46,12 +46,7 @@
 impl Response {
     /// An answer with a body.
     pub fn new(status: u16, body: Vec<u8>) -> Self {
-        Response {
-            status,
-            body,
-            retry_after: None,
-            close: false,
-        }
+        Response { status, body, retry_after: None, close: false }
     }
     /// An answer without a body.
     pub fn empty(status: u16) -> Self {
@@ -59,10 +54,7 @@
     }
     /// A refusal for now, which says when to come back.
     pub fn later(seconds: u32) -> Self {
-        Response {
-            retry_after: Some(seconds),
-            ..Response::empty(503)
-        }
+        Response { retry_after: Some(seconds), ..Response::empty(503) }
     }
 }
 
@@ -233,36 +225,22 @@
     let mut buf: Vec<u8> = Vec::new();
     loop {
         if buf.is_empty() {
-            let idle = if crowded() {
-                limits.idle_crowded
-            } else {
-                limits.idle
-            };
+            let idle = if crowded() { limits.idle_crowded } else { limits.idle };
             match timeout(idle, stream.read_buf(&mut buf)).await {
                 Ok(Ok(n)) if n > 0 => {}
                 _ => return Ok(()),
             }
         }
-        let read = timeout(
-            limits.request,
-            read_request(&mut stream, &mut buf, limits.body),
-        )
-        .await;
+        let read = timeout(limits.request, read_request(&mut stream, &mut buf, limits.body)).await;
         let head = match read {
             Ok(Ok(Some(head))) => head,
             Ok(Ok(None)) => return Ok(()),
             Ok(Err(e)) => {
-                let refusal = Response {
-                    close: true,
-                    ..Response::empty(e.status())
-                };
+                let refusal = Response { close: true, ..Response::empty(e.status()) };
                 return write_response(&mut stream, &refusal, true).await;
             }
             Err(_) => {
-                let refusal = Response {
-                    close: true,
-                    ..Response::empty(408)
-                };
+                let refusal = Response { close: true, ..Response::empty(408) };
                 return write_response(&mut stream, &refusal, true).await;
             }
         };
@@ -272,20 +250,12 @@
             buf = Vec::new();
         }
         let close = head.close;
-        let response = handler(Request {
-            method: head.method,
-            path: head.path,
-            body,
-            connection,
-        })
-        .await;
+        let response =
+            handler(Request { method: head.method, path: head.path, body, connection }).await;
         let close = close || response.close;
-        timeout(
-            limits.request,
-            write_response(&mut stream, &response, close),
-        )
-        .await
-        .unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))?;
+        timeout(limits.request, write_response(&mut stream, &response, close))
+            .await
+            .unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))?;
         if close {
             return Ok(());
         }
@@ -387,11 +357,7 @@
 impl Client {
     /// A client that accepts answers of up to `answer_limit` bytes.
     pub fn new(addr: SocketAddr, answer_limit: usize) -> Self {
-        Client {
-            addr,
-            idle: RefCell::new(Vec::new()),
-            answer_limit,
-        }
+        Client { addr, idle: RefCell::new(Vec::new()), answer_limit }
     }
 
     /// Sends a request and waits for its answer, all within `limit`.
@@ -444,19 +410,13 @@
         );
         if method != "GET" || !body.is_empty() {
             out.extend_from_slice(
-                format!(
-                    "Content-Type: application/cbor\r\nContent-Length: {}\r\n",
-                    body.len()
-                )
-                .as_bytes(),
+                format!("Content-Type: application/cbor\r\nContent-Length: {}\r\n", body.len())
+                    .as_bytes(),
             );
         }
         out.extend_from_slice(b"\r\n");
         out.extend_from_slice(body);
-        stream
-            .write_all(&out)
-            .await
-            .map_err(|_| CallError::Connect)?;
+        stream.write_all(&out).await.map_err(|_| CallError::Connect)?;
         let mut buf = Vec::with_capacity(1024);
         loop {
             if let Some((status, fields, used)) = parse_answer(&buf)? {
@@ -465,12 +425,7 @@
                     return Err(CallError::Malformed);
                 }
                 while buf.len() < used + length {
-                    if stream
-                        .read_buf(&mut buf)
-                        .await
-                        .map_err(|_| CallError::Broken)?
-                        == 0
-                    {
+                    if stream.read_buf(&mut buf).await.map_err(|_| CallError::Broken)? == 0 {
                         return Err(CallError::Broken);
                     }
                 }
@@ -479,11 +434,7 @@
                 }
                 buf.truncate(used + length);
                 buf.drain(..used);
-                return Ok(Answer {
-                    status,
-                    body: buf,
-                    retry_after: fields.retry_after,
-                });
+                return Ok(Answer { status, body: buf, retry_after: fields.retry_after });
             }
             match stream.read_buf(&mut buf).await {
                 Ok(n) if n > 0 => {}
@@ -518,25 +469,13 @@
     #[test]
     fn heads_are_taken_or_refused() {
         let long = format!("GET / HTTP/1.1\r\nA: {}", "x".repeat(HEAD_LIMIT));
-        let many = format!(
-            "GET / HTTP/1.1\r\n{}\r\n",
-            "A: b\r\n".repeat(MAX_HEADERS + 1)
-        );
+        let many = format!("GET / HTTP/1.1\r\n{}\r\n", "A: b\r\n".repeat(MAX_HEADERS + 1));
         let cases: Vec<(&str, Result<Option<usize>, HeadError>)> = vec![
             ("GET /ready HTTP/1.1\r\n\r\n", Ok(Some(0))),
             ("GET /ready HTTP/1.1\r\nHos", Ok(None)),
-            (
-                "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\n",
-                Ok(Some(10)),
-            ),
-            (
-                "POST / HTTP/1.1\r\ncontent-length: 101\r\n\r\n",
-                Err(HeadError::BodyTooLarge),
-            ),
-            (
-                "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
-                Err(HeadError::Malformed),
-            ),
+            ("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\n", Ok(Some(10))),
+            ("POST / HTTP/1.1\r\ncontent-length: 101\r\n\r\n", Err(HeadError::BodyTooLarge)),
+            ("POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", Err(HeadError::Malformed)),
             (
                 "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
                 Err(HeadError::Malformed),
--- a/src/job.rs
+++ b/src/job.rs
@@ -60,10 +60,7 @@
         Action::Show { at, id } => (at, "GET", format!("/api/jobs/{id}"), Vec::new()),
         Action::Abort { at, id } => (at, "POST", format!("/api/jobs/{id}/abort"), Vec::new()),
     };
-    let runtime = match tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-    {
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(e) => return super::fail(&format!("cannot start: {e}")),
     };
@@ -118,11 +115,7 @@
         let again = retry_after.map_or(String::new(), |s| format!(", come back in {s} s"));
         eprintln!("willowshore: {why} (status {status}{again})");
     }
-    if good {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::FAILURE
-    }
+    if good { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
 fn line(job: &JobAnswer) -> String {
@@ -132,12 +125,6 @@
         JobStage::Done => "done",
         JobStage::Withdrawn => "cancelled",
     };
-    let reason = job
-        .reason
-        .as_ref()
-        .map_or(String::new(), |r| format!(" ({r})"));
-    format!(
-        "{}: {stage}, {} done, {} running{reason}",
-        job.job, job.done, job.running
-    )
+    let reason = job.reason.as_ref().map_or(String::new(), |r| format!(" ({r})"));
+    format!("{}: {stage}, {} done, {} running{reason}", job.job, job.done, job.running)
 }
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -108,7 +108,8 @@
     began: Steady,
     seq: u64,
     nodes: BTreeMap<NodeId, NodeState>,
-    owners: BTreeMap<MachineId, NodeId>,
+    /// Owner of each machine, and the first plan that names it.
+    owners: BTreeMap<MachineId, (NodeId, PlanSeq)>,
     granted: BTreeMap<TaskId, Granted>,
     revoked: HashMap<TaskId, Revoked>,
     limbo: HashSet<TaskId>,
@@ -174,10 +175,8 @@
         if let Some(old) = before {
             // The record in the store may lag behind what this very leader granted.
             let may_run = |t: &TaskId| ledger.may_run(*t);
-            lead.limbo
-                .extend(old.granted.keys().copied().filter(may_run));
-            lead.limbo
-                .extend(old.revoked.keys().copied().filter(may_run));
+            lead.limbo.extend(old.granted.keys().copied().filter(may_run));
+            lead.limbo.extend(old.revoked.keys().copied().filter(may_run));
             lead.limbo.extend(old.limbo.iter().copied().filter(may_run));
             lead.gone = old.gone;
             lead.heard = old.heard;
@@ -217,17 +216,13 @@
             *heard = (*heard).max(at);
         }
         for m in &s.machines {
-            if self.owners.get(&m.id) == Some(&s.node) && m.settled {
+            if m.settled && self.tells(&s, &m.id) {
                 self.unsettled.remove(&m.id);
             }
         }
-        let held: HashSet<TaskId> = s
-            .machines
-            .iter()
-            .flat_map(|m| m.tasks.iter().map(|t| t.task))
-            .collect();
-        self.revoked
-            .retain(|t, r| r.node != s.node || s.followed < r.seq || held.contains(t));
+        let held: HashSet<TaskId> =
+            s.machines.iter().flat_map(|m| m.tasks.iter().map(|t| t.task)).collect();
+        self.revoked.retain(|t, r| r.node != s.node || s.followed < r.seq || held.contains(t));
         let node = s.node;
         let before = self.nodes.remove(&node);
         let changed = before.as_ref().is_none_or(|n| differs(&n.summary, &s));
@@ -236,15 +231,7 @@
         if let Some(p) = &mut answer {
             p.clock_ms = now.0;
         }
-        self.nodes.insert(
-            node,
-            NodeState {
-                life: s.life,
-                summary: s,
-                at: now,
-                plan,
-            },
-        );
+        self.nodes.insert(node, NodeState { life: s.life, summary: s, at: now, plan });
         (answer, changed)
     }
 
@@ -256,13 +243,21 @@
             .collect()
     }
 
+    /// Whether a summary speaks for a machine: its sender owns it and follows a plan of this
+    /// term that says so. What it remembers from an earlier term may be missing in its next
+    /// summary without having ended.
+    fn tells(&self, s: &Summary, id: &MachineId) -> bool {
+        self.owners.get(id).is_some_and(|(owner, since)| *owner == s.node && s.followed >= *since)
+            && !self.gone.contains(id)
+    }
+
     /// Machine views from owners, as they last told.
     fn views(&self) -> impl Iterator<Item = (&MachineView, NodeId, u64)> {
         self.nodes.iter().flat_map(move |(node, n)| {
             n.summary
                 .machines
                 .iter()
-                .filter(move |m| self.owners.get(&m.id) == Some(node) && !self.gone.contains(&m.id))
+                .filter(move |m| self.tells(&n.summary, &m.id))
                 .map(move |m| (m, *node, n.at.0))
         })
     }
@@ -325,35 +320,28 @@
             return;
         }
         let live = self.live(now);
-        if self.owners.values().any(|o| !live.contains(o)) {
+        if self.owners.values().any(|(o, _)| !live.contains(o)) {
             self.renew_term = Some("the owner of machines is not heard");
             return;
         }
-        let stray = self
-            .nodes
-            .iter()
-            .filter(|(id, _)| live.contains(id))
-            .any(|(node, n)| {
-                n.summary.strays.iter().any(|s| {
-                    s.since_ms > STRAY_MS
-                        && s.silent_ms < 3_000
-                        && self.owners.get(&s.id).is_some_and(|o| o != node)
-                        && !self.owner_hears(&s.id)
-                })
-            });
+        let stray = self.nodes.iter().filter(|(id, _)| live.contains(id)).any(|(node, n)| {
+            n.summary.strays.iter().any(|s| {
+                s.since_ms > STRAY_MS
+                    && s.silent_ms < 3_000
+                    && self.owners.get(&s.id).is_some_and(|(o, _)| o != node)
+                    && !self.owner_hears(&s.id)
+            })
+        });
         if stray {
             self.renew_term = Some("a machine cannot reach its owner");
             return;
         }
         if now.since(self.rebalanced.max(self.began)) > REBALANCE_MS && self.unsettled.is_empty() {
-            let count = |id: &NodeId| self.owners.values().filter(|o| *o == id).count();
+            let count = |id: &NodeId| self.owners.values().filter(|(o, _)| o == id).count();
             let idle = live.iter().any(|id| {
                 count(id) == 0
                     && self.owners.len() >= 2 * live.len()
-                    && self
-                        .owners
-                        .keys()
-                        .any(|m| self.owner_for(ctx, m, &live) == Some(*id))
+                    && self.owners.keys().any(|m| self.owner_for(ctx, m, &live) == Some(*id))
             });
             if idle {
                 self.rebalanced = now;
@@ -363,8 +351,7 @@
     }
 
     fn owner_hears(&self, id: &MachineId) -> bool {
-        self.views()
-            .any(|(m, _, _)| m.id == *id && m.silent_ms < STRAY_MS)
+        self.views().any(|(m, _, _)| m.id == *id && m.silent_ms < STRAY_MS)
     }
 
     fn zone_of<'a>(&'a self, ctx: &'a Context<'_>, id: &MachineId) -> Option<&'a str> {
@@ -399,11 +386,7 @@
         let mut found: Vec<(MachineId, Offer, bool)> = Vec::new();
         for (node, n) in self.nodes.iter().filter(|(id, _)| live.contains(id)) {
             for s in &n.summary.strays {
-                let offer = Offer {
-                    hull: s.hull.clone(),
-                    zone: s.zone.clone(),
-                    spot: s.spot,
-                };
+                let offer = Offer { hull: s.hull.clone(), zone: s.zone.clone(), spot: s.spot };
                 found.push((s.id.clone(), offer, s.silent_ms < 5_000));
                 if s.since_ms > STRAY_MS && s.silent_ms < 5_000 {
                     strays.insert(s.id.clone(), *node);
@@ -417,11 +400,7 @@
         }
         for (id, (m, _)) in &ctx.ledger.machines {
             if m.gone.is_none() && !self.gone.contains(id) {
-                let offer = Offer {
-                    hull: m.hull.clone(),
-                    zone: m.zone.clone(),
-                    spot: m.spot,
-                };
+                let offer = Offer { hull: m.hull.clone(), zone: m.zone.clone(), spot: m.spot };
                 self.note_machine(now, id, offer);
             }
         }
@@ -432,12 +411,9 @@
             .cloned()
             .collect();
         for id in open {
-            let owner = strays
-                .get(&id)
-                .copied()
-                .or_else(|| self.owner_for(ctx, &id, &live));
+            let owner = strays.get(&id).copied().or_else(|| self.owner_for(ctx, &id, &live));
             if let Some(owner) = owner {
-                self.owners.insert(id, owner);
+                self.owners.insert(id, (owner, PlanSeq(self.seq + 1)));
             }
         }
     }
@@ -473,11 +449,7 @@
         if self.is_gone(ctx, &host.r#ref) {
             return;
         }
-        let offer = Offer {
-            hull: host.hull.clone(),
-            zone: host.yard.clone(),
-            spot: host.loaners,
-        };
+        let offer = Offer { hull: host.hull.clone(), zone: host.yard.clone(), spot: host.loaners };
         let age = (host.held_s.max(0.0) * 1000.0) as u64;
         self.note_machine(ctx.now, &host.r#ref, offer);
         if let Some(m) = self.fleet.get_mut(&host.r#ref) {
@@ -501,10 +473,8 @@
     /// compared with their owners' estimates.
     fn learn(&mut self, ctx: &Context<'_>, on: &HashMap<TaskId, Seen>) {
         let now = ctx.now;
-        let ups: Vec<(MachineId, bool)> = self
-            .views()
-            .map(|(m, _, _)| (m.id.clone(), !m.tasks.is_empty()))
-            .collect();
+        let ups: Vec<(MachineId, bool)> =
+            self.views().map(|(m, _, _)| (m.id.clone(), !m.tasks.is_empty())).collect();
         for (id, busy) in ups {
             if let Some(f) = self.fleet.get_mut(&id) {
                 if !f.up {
@@ -540,11 +510,7 @@
     /// A task's expected run time: the owner's estimate, corrected by how its class's
     /// estimates turned out so far.
     fn run_s(&self, job: &Job) -> f64 {
-        let ratio = self
-            .runs
-            .get(&job.spec.lane)
-            .filter(|r| r.1 > 0.0)
-            .map_or(1.0, |r| r.0 / r.1);
+        let ratio = self.runs.get(&job.spec.lane).filter(|r| r.1 > 0.0).map_or(1.0, |r| r.0 / r.1);
         job.spec.guess_s.max(1.0) * ratio.clamp(0.3, 3.0)
     }
 
@@ -553,16 +519,15 @@
         let now = ctx.now;
         let ledger = ctx.ledger;
         self.silent_verdicts(ctx);
-        self.limbo
-            .retain(|t| ledger.may_run(*t) && !on.contains_key(t));
-        if self.unsettled.is_empty() && !self.limbo.is_empty() && !self.owners.is_empty() {
+        // Only a machine that reported with this term's token tells where a task is: what an
+        // owner remembers from before may have ended and been started elsewhere since.
+        let unsettled = &self.unsettled;
+        let placed = |t: &TaskId| on.get(t).is_some_and(|s| !unsettled.contains(&s.machine));
+        self.limbo.retain(|t| ledger.may_run(*t) && !placed(t));
+        if self.unsettled.is_empty() && !self.limbo.is_empty() {
             tracing::info!(term = %self.term, tasks = self.limbo.len(), "proven not to run");
             self.limbo.clear();
         }
-        // With no machine known there is nothing that could run them.
-        if self.unsettled.is_empty() && now.since(self.began) > 1_000 {
-            self.limbo.clear();
-        }
         self.granted.retain(|t, _| ledger.may_run(*t));
         self.revoked.retain(|t, _| ledger.may_run(*t));
         let next = PlanSeq(self.seq + 1);
@@ -574,11 +539,7 @@
             .collect();
         for t in unused {
             if let Some(g) = self.granted.remove(&t) {
-                let r = Revoked {
-                    node: g.node,
-                    seq: next,
-                    zone: g.zone,
-                };
+                let r = Revoked { node: g.node, seq: next, zone: g.zone };
                 self.revoked.insert(t, r);
             }
         }
@@ -617,12 +578,7 @@
             .unsettled
             .iter()
             .filter(|id| {
-                let last = self
-                    .heard
-                    .get(*id)
-                    .copied()
-                    .unwrap_or(self.began)
-                    .max(last_other);
+                let last = self.heard.get(*id).copied().unwrap_or(self.began).max(last_other);
                 last.plus(lease) < told_until
             })
             .cloned()
@@ -678,7 +634,7 @@
             if let Some(job) = ctx.ledger.jobs.get(&t.job) {
                 let need = Need::of(&job.spec);
                 let owned: Vec<usize> = (0..rooms.len())
-                    .filter(|&i| self.owners.get(&rooms[i].id) == Some(&g.node))
+                    .filter(|&i| self.owners.get(&rooms[i].id).is_some_and(|(o, _)| *o == g.node))
                     .collect();
                 let part: Vec<Room> = owned.iter().map(|&i| rooms[i].clone()).collect();
                 if let Some(i) = place::choose(&job.spec, &need, &part, g.zone.as_deref()) {
@@ -703,11 +659,8 @@
     fn team_use(&self, ctx: &Context<'_>, on: &HashMap<TaskId, Seen>) -> Vec<(Cores, Cores)> {
         let teams = &ctx.settings.params.teams;
         let mut used = vec![(Cores(0), Cores(0)); teams.len()];
-        let index: HashMap<&str, usize> = teams
-            .iter()
-            .enumerate()
-            .map(|(i, t)| (t.name.as_str(), i))
-            .collect();
+        let index: HashMap<&str, usize> =
+            teams.iter().enumerate().map(|(i, t)| (t.name.as_str(), i)).collect();
         let mut add = |t: &TaskId| {
             if let Some(job) = ctx.ledger.jobs.get(&t.job)
                 && let Some(i) = index.get(job.spec.owner.as_str())
@@ -717,15 +670,10 @@
                 used[*i].1.0 += need.accelerators.0;
             }
         };
-        on.keys().for_each(&mut add);
-        self.granted
-            .keys()
-            .filter(|t| !on.contains_key(t))
-            .for_each(&mut add);
-        self.revoked
-            .keys()
-            .filter(|t| !on.contains_key(t))
-            .for_each(&mut add);
+        // Those on machines that are not settled are within what counts for these below.
+        on.iter().filter(|(_, s)| !self.unsettled.contains(&s.machine)).for_each(|(t, _)| add(t));
+        self.granted.keys().filter(|t| !on.contains_key(t)).for_each(&mut add);
+        self.revoked.keys().filter(|t| !on.contains_key(t)).for_each(&mut add);
         let unknown = self.unsettled.iter().filter_map(|id| {
             let hull = &self.fleet.get(id)?.offer.hull;
             ctx.flavors.get(hull).map(Need::offered)
@@ -739,10 +687,7 @@
         // Tasks of jobs that have ended still use cores until they are gone: their team is
         // no longer known here, so they count for every team.
         for (m, _, _) in self.views() {
-            let strange = m
-                .tasks
-                .iter()
-                .filter(|t| !ctx.ledger.jobs.contains_key(&t.task.job));
+            let strange = m.tasks.iter().filter(|t| !ctx.ledger.jobs.contains_key(&t.task.job));
             if strange.count() > 0
                 && let Some(f) = ctx.flavors.get(&m.hull)
             {
@@ -777,40 +722,26 @@
         for t in others.filter(|t| !on.contains_key(t)) {
             counts.entry(t.job).or_default().0 += 1;
         }
-        for t in &self.limbo {
+        for t in self.limbo.iter().filter(|t| !on.contains_key(t)) {
             counts.entry(t.job).or_default().1 += 1;
         }
-        let failing: HashSet<JobId> = self
-            .nodes
-            .values()
-            .flat_map(|n| n.summary.failing.iter().copied())
-            .collect();
+        let failing: HashSet<JobId> =
+            self.nodes.values().flat_map(|n| n.summary.failing.iter().copied()).collect();
         let demands = self.demands(ctx, &counts, &failing);
         let bounds = Bounds {
             held: rooms.iter().fold(Cores(0), |sum, r| {
-                let total = ctx
-                    .flavors
-                    .get(&r.hull)
-                    .map_or(Cores(0), |f| Cores::offer(f.vcpus));
+                let total = ctx.flavors.get(&r.hull).map_or(Cores(0), |f| Cores::offer(f.vcpus));
                 Cores(sum.0 + if r.open { total.0 } else { 0 })
             }),
-            teams: ctx
-                .settings
-                .params
-                .teams
-                .iter()
-                .map(|t| t.core_limit())
-                .collect(),
+            teams: ctx.settings.params.teams.iter().map(|t| t.core_limit()).collect(),
         };
         let admission = admit::admit(&demands, &bounds);
         self.waits.clear();
         for job in &admission.waiting {
             self.waits.insert(*job, Waits::BelowWaterline);
         }
-        let mut order: Vec<&Demand> = demands
-            .iter()
-            .filter(|d| admission.shares.contains_key(&d.job))
-            .collect();
+        let mut order: Vec<&Demand> =
+            demands.iter().filter(|d| admission.shares.contains_key(&d.job)).collect();
         order.sort_by(|a, b| {
             (a.rank, !a.required)
                 .cmp(&(b.rank, !b.required))
@@ -891,11 +822,7 @@
                 return;
             }
             let allowed: Vec<Option<String>> = if zones.binds() {
-                zones
-                    .open(&ctx.settings.params.zones)
-                    .into_iter()
-                    .map(Some)
-                    .collect()
+                zones.open(&ctx.settings.params.zones).into_iter().map(Some).collect()
             } else {
                 vec![None]
             };
@@ -906,7 +833,7 @@
                 self.waits.entry(id).or_insert(Waits::ForMachines);
                 return;
             };
-            let Some(node) = self.owners.get(&rooms[i].id).copied() else {
+            let Some((node, _)) = self.owners.get(&rooms[i].id).copied() else {
                 return;
             };
             rooms[i].add(&job.spec, &need);
@@ -929,33 +856,21 @@
         failing: &HashSet<JobId>,
     ) -> Vec<Demand> {
         let required = within_guarantees(ctx);
-        let ranks: HashMap<JobId, u32> = ctx
-            .ledger
-            .jobs
-            .iter()
-            .map(|(id, j)| (*id, rank(j.spec.urgency)))
-            .collect();
+        let ranks: HashMap<JobId, u32> =
+            ctx.ledger.jobs.iter().map(|(id, j)| (*id, rank(j.spec.urgency))).collect();
         let ranks = admit::revised_ranks(&ranks, &[]);
         let mut demands = Vec::with_capacity(ctx.ledger.jobs.len());
         for (id, job) in &ctx.ledger.jobs {
             let (held, limbo) = counts.get(id).copied().unwrap_or_default();
             let runnable = job.remaining().saturating_sub(held + limbo);
-            let Some(team) = ctx
-                .settings
-                .params
-                .teams
-                .iter()
-                .position(|t| t.name == job.spec.owner)
+            let Some(team) =
+                ctx.settings.params.teams.iter().position(|t| t.name == job.spec.owner)
             else {
                 continue;
             };
             // A job that fails everywhere keeps the value it would have, but only one task
             // tries.
-            let tries = if failing.contains(id) {
-                runnable.min(1)
-            } else {
-                runnable
-            };
+            let tries = if failing.contains(id) { runnable.min(1) } else { runnable };
             demands.push(Demand {
                 job: *id,
                 rank: ranks.get(id).copied().unwrap_or(u32::MAX),
@@ -1022,11 +937,7 @@
             .iter()
             .filter(|(id, _)| !self.gone.contains(*id))
             .map(|(id, m)| {
-                let offered = ctx
-                    .flavors
-                    .get(&m.offer.hull)
-                    .map(Need::offered)
-                    .unwrap_or_default();
+                let offered = ctx.flavors.get(&m.offer.hull).map(Need::offered).unwrap_or_default();
                 let room = free.get(id);
                 Held {
                     id: id.clone(),
@@ -1073,10 +984,8 @@
                 }
                 match views.get(id) {
                     Some((v, node)) => {
-                        let followed = self
-                            .nodes
-                            .get(node)
-                            .map_or(PlanSeq(0), |n| n.summary.followed);
+                        let followed =
+                            self.nodes.get(node).map_or(PlanSeq(0), |n| n.summary.followed);
                         let drained = m.draining.is_some_and(|s| followed >= s)
                             && v.tasks.is_empty()
                             && v.settled
@@ -1117,22 +1026,12 @@
             all.extend(epoch.grants.iter().map(|g| g.0));
             let records = split_record(self.term, &all);
             if records.len() + 1 >= ops {
-                tracing::error!(
-                    keys = records.len(),
-                    "too many granted ranges for a transaction"
-                );
+                tracing::error!(keys = records.len(), "too many granted ranges for a transaction");
                 epoch.grants.clear();
             } else {
-                let stale = ctx
-                    .ledger
-                    .epochs
-                    .keys()
-                    .filter(|n| **n as usize >= records.len());
-                let drops: Vec<Change> = stale
-                    .map(|n| Change::Drop {
-                        path: ledger::epoch_key(*n),
-                    })
-                    .collect();
+                let stale = ctx.ledger.epochs.keys().filter(|n| **n as usize >= records.len());
+                let drops: Vec<Change> =
+                    stale.map(|n| Change::Drop { path: ledger::epoch_key(*n) }).collect();
                 for (n, record) in records.iter().enumerate() {
                     apply.push(Change::Set {
                         path: ledger::epoch_key(n as u32),
@@ -1148,10 +1047,7 @@
         }
         self.machine_changes(ctx, ops, &mut apply);
         if !apply.is_empty() {
-            epoch.txn = Some(Txn {
-                guards: ctx.ledger.lead_guard().into_iter().collect(),
-                apply,
-            });
+            epoch.txn = Some(Txn { guards: ctx.ledger.lead_guard().into_iter().collect(), apply });
         }
     }
 
@@ -1181,16 +1077,11 @@
             }
             match m.gone {
                 None if self.gone.contains(id) => {
-                    let record = MachineRecord {
-                        gone: Some(ctx.wall),
-                        ..m.clone()
-                    };
+                    let record = MachineRecord { gone: Some(ctx.wall), ..m.clone() };
                     apply.push(put(id, &record));
                 }
                 Some(at) if ctx.wall.0.saturating_sub(at.0) > TOMBSTONE_MS => {
-                    apply.push(Change::Drop {
-                        path: ledger::machine_key(id),
-                    });
+                    apply.push(Change::Drop { path: ledger::machine_key(id) });
                 }
                 _ => {}
             }
@@ -1203,11 +1094,7 @@
             self.durable = durable;
         }
         for (task, node, zone) in epoch.grants {
-            let g = Granted {
-                node,
-                at: ctx.now,
-                zone,
-            };
+            let g = Granted { node, at: ctx.now, zone };
             self.granted.insert(task, g);
         }
         self.seq += 1;
@@ -1220,13 +1107,11 @@
             .map(|(id, _)| id.clone())
             .collect();
         let owners: Vec<(MachineId, NodeId)> =
-            self.owners.iter().map(|(id, n)| (id.clone(), *n)).collect();
+            self.owners.iter().map(|(id, (n, _))| (id.clone(), *n)).collect();
         let mut grants: HashMap<NodeId, BTreeMap<(JobId, Option<String>), Ranges>> = HashMap::new();
         for (t, g) in &self.granted {
             let jobs = grants.entry(g.node).or_default();
-            jobs.entry((t.job, g.zone.clone()))
-                .or_default()
-                .insert(t.index);
+            jobs.entry((t.job, g.zone.clone())).or_default().insert(t.index);
         }
         for (id, node) in &mut self.nodes {
             let mine = grants.remove(id).unwrap_or_default();
@@ -1281,10 +1166,7 @@
 
     /// Attempts by machine, for checks.
     pub fn placed(&self) -> BTreeMap<TaskId, (MachineId, Attempt)> {
-        self.on_machines()
-            .into_iter()
-            .map(|(t, s)| (t, (s.machine, s.attempt)))
-            .collect()
+        self.on_machines().into_iter().map(|(t, s)| (t, (s.machine, s.attempt))).collect()
     }
 
     /// A node's plan as of now, for messages through the store.
@@ -1346,13 +1228,11 @@
 fn differs(a: &Summary, b: &Summary) -> bool {
     let tasks = |s: &Summary| -> Vec<(TaskId, bool)> {
         let all = s.machines.iter().flat_map(|m| &m.tasks);
-        all.map(|t| (t.task, t.stage == PieceStage::Fetching))
-            .collect()
+        all.map(|t| (t.task, t.stage == PieceStage::Fetching)).collect()
     };
     let machines = |s: &Summary| -> Vec<(MachineId, bool, bool)> {
         let all = s.machines.iter();
-        all.map(|m| (m.id.clone(), m.settled, m.warning_ms.is_some() || m.shunned))
-            .collect()
+        all.map(|m| (m.id.clone(), m.settled, m.warning_ms.is_some() || m.shunned)).collect()
     };
     let strays = |s: &Summary| s.strays.iter().map(|m| m.id.clone()).collect::<Vec<_>>();
     tasks(a) != tasks(b) || machines(a) != machines(b) || strays(a) != strays(b)
@@ -1450,20 +1330,14 @@
     for t in tasks {
         by_job.entry(t.job).or_default().insert(t.index);
     }
-    let mut records = vec![EpochRecord {
-        term,
-        granted: Vec::new(),
-    }];
+    let mut records = vec![EpochRecord { term, granted: Vec::new() }];
     let mut size = 0;
     for (job, ranges) in by_job {
         // A job with many gaps is cut into pieces, so that no key grows beyond its limit.
         for spans in ranges.spans().chunks(200) {
             let cost = 24 + spans.len() * 16;
             if size + cost > RECORD_FILL {
-                records.push(EpochRecord {
-                    term,
-                    granted: Vec::new(),
-                });
+                records.push(EpochRecord { term, granted: Vec::new() });
                 size = 0;
             }
             size += cost;
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -188,10 +188,7 @@
 impl Ledger {
     /// An empty replica for that node.
     pub fn new(me: NodeId) -> Self {
-        Ledger {
-            me: format!("{}/", me.0),
-            ..Ledger::default()
-        }
+        Ledger { me: format!("{}/", me.0), ..Ledger::default() }
     }
 
     /// Forgets everything that is read anew, keeping what can never change.
@@ -201,12 +198,7 @@
         let mut member_moves = std::mem::take(&mut self.member_moves);
         // What came and went while the changes were not followed is not known.
         member_moves.values_mut().for_each(|n| *n += 1);
-        *self = Ledger {
-            me,
-            ended,
-            member_moves,
-            ..Ledger::default()
-        };
+        *self = Ledger { me, ended, member_moves, ..Ledger::default() };
     }
 
     /// Takes an item that was read.
@@ -312,15 +304,8 @@
             return;
         };
         let (progress, progress_stamp) = self.orphaned.remove(&id).unwrap_or_default();
-        self.jobs.insert(
-            id,
-            Job {
-                spec: accepted.spec,
-                at: accepted.at,
-                progress,
-                progress_stamp,
-            },
-        );
+        self.jobs
+            .insert(id, Job { spec: accepted.spec, at: accepted.at, progress, progress_stamp });
         brought.jobs = true;
     }
 
@@ -402,10 +387,7 @@
     /// Whether a task's outcome no longer matters: its job has ended or it is durably done.
     pub fn settled(&self, task: TaskId) -> bool {
         self.ended.contains_key(&task.job)
-            || self
-                .jobs
-                .get(&task.job)
-                .is_some_and(|j| j.is_done(task.index))
+            || self.jobs.get(&task.job).is_some_and(|j| j.is_done(task.index))
     }
 
     /// Whether a machine may be given tasks: it is durably known and not gone.
@@ -421,10 +403,7 @@
     /// The condition that a node still leads as it did.
     pub fn lead_guard(&self) -> Option<Guard> {
         let (_, stamp) = self.lead.as_ref()?;
-        Some(Guard {
-            path: LEAD_KEY.into(),
-            stamp: *stamp,
-        })
+        Some(Guard { path: LEAD_KEY.into(), stamp: *stamp })
     }
 
     /// Tasks that any earlier epoch granted and that are not done: they may be running.
@@ -464,53 +443,25 @@
     use crate::wire::tests::spec;
 
     fn set<T: Serialize>(key: String, value: &T, stamp: u64) -> News {
-        News {
-            set: Some(key),
-            drop: None,
-            v: Some(wire::to_value(value)),
-            stamp: Revision(stamp),
-        }
+        News { set: Some(key), drop: None, v: Some(wire::to_value(value)), stamp: Revision(stamp) }
     }
     fn dropped(key: String, stamp: u64) -> News {
-        News {
-            set: None,
-            drop: Some(key),
-            v: None,
-            stamp: Revision(stamp),
-        }
+        News { set: None, drop: Some(key), v: None, stamp: Revision(stamp) }
     }
     fn changes(epoch: u64, news: Vec<News>) -> Changes {
-        Changes {
-            epoch: Revision(epoch),
-            news,
-        }
+        Changes { epoch: Revision(epoch), news }
     }
 
     #[test]
     fn overlapping_and_late_watches_change_nothing() {
         let id = JobId(7);
-        let job = set(
-            job_key(id),
-            &Accepted {
-                spec: spec(7, 2),
-                at: Wall(1),
-            },
-            3,
-        );
-        let lead = |term| LeadRecord {
-            node: NodeId(1),
-            life: Incarnation(9),
-            term: Term(term),
-        };
+        let job = set(job_key(id), &Accepted { spec: spec(7, 2), at: Wall(1) }, 3);
+        let lead = |term| LeadRecord { node: NodeId(1), life: Incarnation(9), term: Term(term) };
         let mut l = Ledger::new(NodeId(0));
         assert!(l.apply(&changes(4, vec![job.clone()])).jobs);
         l.apply(&changes(9, vec![set(LEAD_KEY.into(), &lead(2), 8)]));
         // A slower watch that covers only older changes comes back afterwards.
-        let late = vec![
-            job,
-            set(LEAD_KEY.into(), &lead(1), 5),
-            dropped(LEAD_KEY.into(), 6),
-        ];
+        let late = vec![job, set(LEAD_KEY.into(), &lead(1), 5), dropped(LEAD_KEY.into(), 6)];
         assert_eq!(l.apply(&changes(7, late)), Brought::default());
         assert_eq!(l.lead.as_ref().unwrap().0.term, Term(2));
         assert_eq!(l.revision, Revision(9));
@@ -522,47 +473,22 @@
     fn progress_may_be_read_before_its_job() {
         let mut l = Ledger::new(NodeId(0));
         let mut b = Brought::default();
-        let done = Progress {
-            end: None,
-            done: Ranges::span(0, 1),
-        };
-        let item = |path: String, v, stamp| Item {
-            path,
-            v,
-            stamp: Revision(stamp),
-        };
-        l.load(
-            &item(progress_key(JobId(7)), wire::to_value(&done), 5),
-            &mut b,
-        );
-        let accepted = Accepted {
-            spec: spec(7, 2),
-            at: Wall(1),
-        };
-        l.load(
-            &item(job_key(JobId(7)), wire::to_value(&accepted), 4),
-            &mut b,
-        );
+        let done = Progress { end: None, done: Ranges::span(0, 1) };
+        let item = |path: String, v, stamp| Item { path, v, stamp: Revision(stamp) };
+        l.load(&item(progress_key(JobId(7)), wire::to_value(&done), 5), &mut b);
+        let accepted = Accepted { spec: spec(7, 2), at: Wall(1) };
+        l.load(&item(job_key(JobId(7)), wire::to_value(&accepted), 4), &mut b);
         let job = &l.jobs[&JobId(7)];
         assert!(job.is_done(0) && !job.is_done(1));
         assert_eq!(job.progress_stamp, Revision(5));
         let end = Ledger::with_done(job, [1, 1, 99]).unwrap();
         assert_eq!(end.end, Some(JobStage::Done));
         assert!(Ledger::with_done(job, [0]).is_none());
-        l.load(
-            &item(progress_key(JobId(7)), wire::to_value(&end), 6),
-            &mut b,
-        );
+        l.load(&item(progress_key(JobId(7)), wire::to_value(&end), 6), &mut b);
         assert_eq!(l.ended[&JobId(7)], (JobStage::Done, 2));
         // An ended job stays ended whatever is read later.
-        l.load(
-            &item(progress_key(JobId(7)), wire::to_value(&done), 5),
-            &mut b,
-        );
-        l.load(
-            &item(job_key(JobId(7)), wire::to_value(&accepted), 4),
-            &mut b,
-        );
+        l.load(&item(progress_key(JobId(7)), wire::to_value(&done), 5), &mut b);
+        l.load(&item(job_key(JobId(7)), wire::to_value(&accepted), 4), &mut b);
         assert!(l.jobs.is_empty() && l.ended.len() == 1);
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -48,11 +48,7 @@
 fn check(file: &std::path::Path) -> ExitCode {
     match Settings::load(file) {
         Ok(settings) => {
-            println!(
-                "{}: settings of {} are sound",
-                file.display(),
-                settings.node_name
-            );
+            println!("{}: settings of {} are sound", file.display(), settings.node_name);
             ExitCode::SUCCESS
         }
         Err(e) => fail(&e.to_string()),
@@ -70,9 +66,7 @@
         Err(_) | Ok("" | "info") => Ok(tracing::Level::INFO),
         Ok("error") => Ok(tracing::Level::ERROR),
         Ok("debug") => Ok(tracing::Level::DEBUG),
-        Ok(other) => Err(format!(
-            "LOG_LEVEL is {other:?}; allowed are error, info and debug"
-        )),
+        Ok(other) => Err(format!("LOG_LEVEL is {other:?}; allowed are error, info and debug")),
     }
 }
 
@@ -91,10 +85,7 @@
         .with_ansi(false)
         .with_target(false)
         .init();
-    let runtime = match tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-    {
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(e) => return fail(&format!("cannot start: {e}")),
     };
--- a/src/model.rs
+++ b/src/model.rs
@@ -43,10 +43,7 @@
     /// Parses the wire form.
     pub fn parse(text: &str) -> Option<Self> {
         let (job, index) = text.split_once('/')?;
-        Some(TaskId {
-            job: JobId::parse(job)?,
-            index: index.parse().ok()?,
-        })
+        Some(TaskId { job: JobId::parse(job)?, index: index.parse().ok()? })
     }
 }
 
@@ -205,11 +202,7 @@
 impl Ranges {
     /// The single range from `lo` up to, not including, `hi`.
     pub fn span(lo: u32, hi: u32) -> Self {
-        if lo < hi {
-            Ranges(vec![(lo, hi)])
-        } else {
-            Ranges::default()
-        }
+        if lo < hi { Ranges(vec![(lo, hi)]) } else { Ranges::default() }
     }
     /// Whether the number is in the set.
     pub fn contains(&self, n: u32) -> bool {
@@ -291,16 +284,14 @@
         for (text, want) in cases {
             assert_eq!(JobId::parse(text).map(|j| j.0), want, "{text}");
         }
-        assert_eq!(
-            TaskId::parse("wk-000412/3").unwrap().to_string(),
-            "wk-000412/3"
-        );
+        assert_eq!(TaskId::parse("wk-000412/3").unwrap().to_string(), "wk-000412/3");
         assert_eq!(TaskId::parse("wk-000412"), None);
     }
 
     #[test]
     fn ranges_merge_like_a_set() {
-        let cases: [(&[u32], &[(u32, u32)]); 5] = [
+        type Case = (&'static [u32], &'static [(u32, u32)]);
+        let cases: [Case; 5] = [
             (&[], &[]),
             (&[3], &[(3, 4)]),
             (&[1, 3, 2], &[(1, 4)]),
--- a/src/part.rs
+++ b/src/part.rs
@@ -200,8 +200,7 @@
         }
         let owners: HashMap<MachineId, NodeId> = plan.owners.iter().cloned().collect();
         let before = std::mem::replace(&mut self.owners, owners);
-        self.redirected
-            .retain(|id, _| before.get(id) == self.owners.get(id));
+        self.redirected.retain(|id, _| before.get(id) == self.owners.get(id));
         let (me, owners) = (self.me, &self.owners);
         // Whatever was on a machine that this part no longer has is its new owner's to tell,
         // or is gone with the machine.
@@ -244,10 +243,9 @@
     fn redirects(&mut self, now: Steady, id: &MachineId) -> bool {
         let came_back = match self.redirected.get(id) {
             Some(at) => now.since(*at) < 8_000,
-            None => self
-                .strays
-                .get(id)
-                .is_some_and(|s| s.back.is_some() && now.since(s.last) < 6_000),
+            None => {
+                self.strays.get(id).is_some_and(|s| s.back.is_some() && now.since(s.last) < 6_000)
+            }
         };
         if came_back {
             if let Some(s) = self.strays.get_mut(id) {
@@ -288,11 +286,7 @@
             if p.stage == PieceStage::Ended
                 && p.cause == Some(Cause::Done)
                 && ledger.may_run(p.piece)
-                && self
-                    .finished
-                    .entry(p.piece.job)
-                    .or_default()
-                    .insert(p.piece.index)
+                && self.finished.entry(p.piece.job).or_default().insert(p.piece.index)
             {
                 self.news = true;
             }
@@ -301,10 +295,8 @@
 
     fn on_own_report(&mut self, env: &Surroundings<'_>, report: &Report) -> ReportAnswer {
         let now = env.now;
-        let machine = self
-            .machines
-            .entry(report.host.clone())
-            .or_insert_with(|| Machine::new(report, now));
+        let machine =
+            self.machines.entry(report.host.clone()).or_insert_with(|| Machine::new(report, now));
         // A held-back report tells of a past that newer ones have overtaken.
         if (report.tenure, report.tally) <= (machine.session, machine.tally) {
             return ReportAnswer::Refuse;
@@ -320,27 +312,15 @@
             (None, Some(s)) => Some(now.plus((s.max(0.0) * 1000.0) as u64)),
         };
         let mut tasks = BTreeMap::new();
-        for p in report
-            .pieces
-            .iter()
-            .filter(|p| p.stage != PieceStage::Ended)
-        {
+        for p in report.pieces.iter().filter(|p| p.stage != PieceStage::Ended) {
             let since = match machine.tasks.get(&p.piece) {
                 Some(h) if h.attempt == p.r#try && h.stage == p.stage => h.since,
                 _ => now,
             };
-            tasks.insert(
-                p.piece,
-                Held {
-                    attempt: p.r#try,
-                    stage: p.stage,
-                    since,
-                },
-            );
+            tasks.insert(p.piece, Held { attempt: p.r#try, stage: p.stage, since });
             if let Some(job) = env.ledger.jobs.get(&p.piece.job) {
                 machine.remember_image(&job.spec.bundle);
-                self.image_sizes
-                    .insert(job.spec.bundle.clone(), job.spec.size_gb);
+                self.image_sizes.insert(job.spec.bundle.clone(), job.spec.size_gb);
             }
         }
         // A start that this report does not show was in a response that the worker dropped:
@@ -358,10 +338,7 @@
         self.clear_ended(env, report, &mut orders);
         self.start_granted(env, &report.host, &mut orders);
         self.answered.insert(report.host.clone(), now);
-        ReportAnswer::Take(ReportReply {
-            baton: self.term,
-            orders,
-        })
+        ReportAnswer::Take(ReportReply { baton: self.term, orders })
     }
 
     fn evictions(&self, id: &MachineId) -> Vec<Order> {
@@ -369,31 +346,20 @@
             return Vec::new();
         };
         let here = |t: &TaskId, a: &Attempt| machine.tasks.get(t).is_some_and(|h| h.attempt == *a);
-        plan.evict
-            .iter()
-            .filter(|(t, a)| here(t, a))
-            .map(|(t, a)| kill(*t, *a))
-            .collect()
+        plan.evict.iter().filter(|(t, a)| here(t, a)).map(|(t, a)| kill(*t, *a)).collect()
     }
 
     /// Clears ended tasks whose outcome no longer depends on the worker's memory, and learns
     /// from those that failed.
     fn clear_ended(&mut self, env: &Surroundings<'_>, report: &Report, orders: &mut Vec<Order>) {
-        for p in report
-            .pieces
-            .iter()
-            .filter(|p| p.stage == PieceStage::Ended)
-        {
+        for p in report.pieces.iter().filter(|p| p.stage == PieceStage::Ended) {
             let done = p.cause == Some(Cause::Done);
             // `done` is cleared only once the store has it; should all controllers end before
             // that, the worker still tells the next one.
             if done && !env.ledger.settled(p.piece) {
                 continue;
             }
-            orders.push(Order::Clear {
-                piece: p.piece,
-                r#try: p.r#try,
-            });
+            orders.push(Order::Clear { piece: p.piece, r#try: p.r#try });
             match p.cause {
                 Some(Cause::Error) => self.note_error(env.now, p.piece.job, &report.host),
                 Some(Cause::NoRoom | Cause::InUse | Cause::Unknown) => {
@@ -419,11 +385,7 @@
         f.machines.insert(machine.clone());
         f.count += 1;
         let faulty_job = f.machines.len() >= 3;
-        let pause = if faulty_job {
-            (2_000u64 << f.count.min(5)).min(60_000)
-        } else {
-            500
-        };
+        let pause = if faulty_job { (2_000u64 << f.count.min(5)).min(60_000) } else { 500 };
         f.until = now.plus(pause);
         if let Some(m) = self.machines.get_mut(machine) {
             m.faults += 1;
@@ -445,12 +407,8 @@
             return;
         }
         let mut rooms = self.rooms(env);
-        let held: HashSet<TaskId> = self
-            .machines
-            .values()
-            .flat_map(|m| m.tasks.keys())
-            .copied()
-            .collect();
+        let held: HashSet<TaskId> =
+            self.machines.values().flat_map(|m| m.tasks.keys()).copied().collect();
         let mut grants: Vec<(Urgency, JobId, &Grant)> = self
             .grants
             .iter()
@@ -466,10 +424,7 @@
                 continue;
             }
             let need = Need::of(&job.spec);
-            let tasks = grant
-                .tasks
-                .iter()
-                .map(|index| TaskId { job: job_id, index });
+            let tasks = grant.tasks.iter().map(|index| TaskId { job: job_id, index });
             for task in tasks.filter(|t| env.ledger.may_run(*t) && !held.contains(t)) {
                 let Some(i) = place::choose(&job.spec, &need, &rooms, grant.zone.as_deref()) else {
                     break;
@@ -484,22 +439,15 @@
             return;
         };
         for (task, bundle, size) in starts {
-            let attempt = self.attempts.next();
+            let attempt = self.attempts.give();
             machine.remember_image(&bundle);
             self.image_sizes.insert(bundle, size);
-            machine.tasks.insert(
-                task,
-                Held {
-                    attempt,
-                    stage: PieceStage::Unknown,
-                    since: env.now,
-                },
-            );
+            machine
+                .tasks
+                .insert(task, Held { attempt, stage: PieceStage::Unknown, since: env.now });
             self.news = true;
-            orders.push(Order::Start {
-                piece: task,
-                r#try: attempt,
-            });
+            tracing::debug!(%task, machine = %id, %attempt, "starts");
+            orders.push(Order::Start { piece: task, r#try: attempt });
         }
     }
 
@@ -551,11 +499,7 @@
         self.strays.retain(|_, s| now.since(s.last) < 10_000);
         self.redirected.retain(|_, at| now.since(*at) < 10_000);
         self.answered.retain(|_, at| now.since(*at) < 120_000);
-        let machines = self
-            .machines
-            .iter()
-            .map(|(id, m)| self.view(id, m, now))
-            .collect();
+        let machines = self.machines.iter().map(|(id, m)| self.view(id, m, now)).collect();
         Summary {
             node: self.me,
             life: self.life,
@@ -565,11 +509,7 @@
             echo_ms: self.plan.as_ref().map_or(0, |p| p.clock_ms),
             up_ms: now.0,
             machines,
-            answered: self
-                .answered
-                .iter()
-                .map(|(id, at)| (id.clone(), now.since(*at)))
-                .collect(),
+            answered: self.answered.iter().map(|(id, at)| (id.clone(), now.since(*at))).collect(),
             strays: self
                 .strays
                 .iter()
@@ -582,12 +522,7 @@
                     since_ms: s.back.map_or(0, |at| now.since(at)),
                 })
                 .collect(),
-            failing: self
-                .faults
-                .keys()
-                .copied()
-                .filter(|j| self.failing(*j))
-                .collect(),
+            failing: self.faults.keys().copied().filter(|j| self.failing(*j)).collect(),
         }
     }
 
@@ -620,12 +555,7 @@
     /// Forgets finished tasks that are durable by now and faults of jobs that have ended.
     pub fn tidy(&mut self, ledger: &Ledger) {
         self.finished.retain(|job, tasks| {
-            tasks.retain(|i| {
-                ledger.may_run(TaskId {
-                    job: *job,
-                    index: *i,
-                })
-            });
+            tasks.retain(|i| ledger.may_run(TaskId { job: *job, index: *i }));
             !tasks.is_empty()
         });
         self.faults.retain(|job, _| ledger.jobs.contains_key(job));
@@ -633,11 +563,7 @@
 }
 
 fn kill(piece: TaskId, attempt: Attempt) -> Order {
-    Order::Kill {
-        piece,
-        r#try: attempt,
-        leeway_s: 0.0,
-    }
+    Order::Kill { piece, r#try: attempt, leeway_s: 0.0 }
 }
 
 /// Kills for tasks whose job was cancelled, or that are durably done already.
@@ -646,10 +572,8 @@
         .iter()
         .filter(|p| p.stage != PieceStage::Ended)
         .filter(|p| {
-            matches!(
-                ledger.ended.get(&p.piece.job),
-                Some((JobStage::Withdrawn, _))
-            ) || ledger.settled(p.piece)
+            matches!(ledger.ended.get(&p.piece.job), Some((JobStage::Withdrawn, _)))
+                || ledger.settled(p.piece)
         })
         .map(|p| kill(p.piece, p.r#try))
         .collect()
--- a/src/place.rs
+++ b/src/place.rs
@@ -53,9 +53,7 @@
 
 /// Whether a job may use machines of that type, zone and kind at all.
 pub fn allowed(spec: &JobSpec, hull: &str, zone: &str, spot: bool) -> bool {
-    spec.hulls
-        .as_ref()
-        .is_none_or(|h| h.iter().any(|n| n == hull))
+    spec.hulls.as_ref().is_none_or(|h| h.iter().any(|n| n == hull))
         && spec.yard.as_ref().is_none_or(|y| y == zone)
         && (!spot || spec.loaners)
 }
@@ -97,11 +95,7 @@
         if self.images.contains(&spec.bundle) {
             return 0.0;
         }
-        let rate = if self.fetch_rate > 0.0 {
-            self.fetch_rate
-        } else {
-            1.0
-        };
+        let rate = if self.fetch_rate > 0.0 { self.fetch_rate } else { 1.0 };
         spec.size_gb / rate * f64::from(1 + self.fetching)
     }
 
@@ -188,16 +182,12 @@
             r
         };
         let has = |r: &mut Room| r.images.push("img".into());
-        let cases: Vec<(&str, Vec<Room>, Option<&str>, Option<usize>)> = vec![
+        type Case = (&'static str, Vec<Room>, Option<&'static str>, Option<usize>);
+        let cases: Vec<Case> = vec![
             ("none", vec![], None, None),
             ("too little memory", vec![room("n-1", 8, 7)], None, None),
             ("too few cores", vec![room("n-1", 3, 64)], None, None),
-            (
-                "tightest fit",
-                vec![room("n-1", 16, 64), room("n-2", 8, 64)],
-                None,
-                Some(1),
-            ),
+            ("tightest fit", vec![room("n-1", 16, 64), room("n-2", 8, 64)], None, Some(1)),
             (
                 "the image outweighs the fit",
                 vec![edit(room("n-1", 16, 64), has), room("n-2", 4, 64)],
@@ -206,10 +196,7 @@
             ),
             (
                 "a machine that fetches much is slower",
-                vec![
-                    edit(room("n-1", 4, 64), |r| r.fetching = 3),
-                    room("n-2", 8, 64),
-                ],
+                vec![edit(room("n-1", 4, 64), |r| r.fetching = 3), room("n-2", 8, 64)],
                 None,
                 Some(1),
             ),
@@ -239,21 +226,14 @@
             ("small", "a", true, false),
         ];
         for (hull, zone, spot, want) in cases {
-            assert_eq!(
-                allowed(&job, hull, zone, spot),
-                want,
-                "{hull} {zone} {spot}"
-            );
+            assert_eq!(allowed(&job, hull, zone, spot), want, "{hull} {zone} {spot}");
         }
         let flavors: Flavors = [flavor("small", 8.0, 64.0), flavor("big", 64.0, 256.0)]
             .map(|f| (f.sku.clone(), f))
             .into();
         assert!(can_ever_run(&job, &flavors));
         job.vcpus = 32.0;
-        assert!(
-            !can_ever_run(&job, &flavors),
-            "the allowed type is too small"
-        );
+        assert!(!can_ever_run(&job, &flavors), "the allowed type is too small");
         job.hulls = None;
         assert!(can_ever_run(&job, &flavors));
         job.yard = Some("c".into());
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -30,12 +30,8 @@
             break; // Left over from a longer message.
         }
         let mut fields = part.splitn(4, ':');
-        let (this, i, count, body) = (
-            fields.next()?,
-            fields.next()?,
-            fields.next()?,
-            fields.next()?,
-        );
+        let (this, i, count, body) =
+            (fields.next()?, fields.next()?, fields.next()?, fields.next()?);
         if i.parse::<usize>().ok()? != n || id.is_some_and(|id| id != this) {
             return None;
         }
--- a/src/service.rs
+++ b/src/service.rs
@@ -151,9 +151,7 @@
 
     /// Now, by the time of day.
     pub fn wall(&self) -> Wall {
-        let since = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Wall(since.as_millis() as u64)
     }
 
@@ -173,10 +171,7 @@
             },
         ));
         let s = self.clone();
-        let limits = ServerLimits {
-            body: 1 << 20,
-            ..ServerLimits::of(24)
-        };
+        let limits = ServerLimits { body: 1 << 20, ..ServerLimits::of(24) };
         spawn_local(http::serve(back, limits, move |request| {
             let s = s.clone();
             async move { s.answer_peer(&request.path, &request.body).await }
@@ -232,26 +227,22 @@
                 break;
             }
         }
-        let mut core = self.core.borrow_mut();
-        core.ledger.reset();
-        let mut brought = Brought::default();
-        for item in &items {
-            core.ledger.load(item, &mut brought);
+        {
+            let mut core = self.core.borrow_mut();
+            core.ledger.reset();
+            let mut brought = Brought::default();
+            for item in &items {
+                core.ledger.load(item, &mut brought);
+            }
+            // Pages read later may hold newer items; changes after the first page are taken
+            // again, and versions tell which of them are old.
+            core.ledger.revision = first.unwrap_or_default();
+            core.loaded = true;
+            core.store_ok = true;
         }
-        // Pages read later may hold newer items; changes after the first page are taken
-        // again, and versions tell which of them are old.
-        core.ledger.revision = first.unwrap_or_default();
-        core.loaded = true;
-        core.store_ok = true;
-        drop(core);
         debug!(items = items.len(), sent = sent.0, "loaded");
         self.pull(Duration::ZERO).await?;
-        self.note(&Brought {
-            jobs: true,
-            progress: true,
-            lead: true,
-            relay: true,
-        });
+        self.note(&Brought { jobs: true, progress: true, lead: true, relay: true });
         Ok(())
     }
 
@@ -260,15 +251,16 @@
         let sent = self.now();
         let after = self.core.borrow().ledger.revision;
         let got = self.store.changes(after, wait).await;
-        let mut core = self.core.borrow_mut();
-        core.store_ok = got.is_ok();
-        let changes = got?;
-        if !core.loaded {
-            return Err(StateError::TooOld);
-        }
-        let brought = core.ledger.apply(&changes);
-        core.rights.confirm_sync(sent);
-        drop(core);
+        let brought = {
+            let mut core = self.core.borrow_mut();
+            core.store_ok = got.is_ok();
+            let changes = got?;
+            if !core.loaded {
+                return Err(StateError::TooOld);
+            }
+            core.rights.confirm_sync(sent);
+            core.ledger.apply(&changes)
+        };
         self.note(&brought);
         Ok(())
     }
@@ -292,11 +284,7 @@
         if let Some((flavors, _)) = &core.ledger.flavors
             && core.flavors.is_empty()
         {
-            core.flavors = flavors
-                .hulls
-                .iter()
-                .map(|f| (f.sku.clone(), f.clone()))
-                .collect();
+            core.flavors = flavors.hulls.iter().map(|f| (f.sku.clone(), f.clone())).collect();
         }
     }
 
@@ -344,10 +332,7 @@
         let (tx, rx) = oneshot::channel();
         self.confirms.borrow_mut().push(tx);
         self.wake_confirm.notify_one();
-        matches!(
-            timeout(Duration::from_millis(1_700), rx).await,
-            Ok(Ok(true))
-        )
+        matches!(timeout(Duration::from_millis(1_700), rx).await, Ok(Ok(true)))
     }
 
     async fn serve_confirms(self: Rc<Self>) {
@@ -406,19 +391,10 @@
         let lease = self.store.grant(LEASE_MS).await?;
         // The predecessor's key, if it is still there, is replaced at once.
         let key = ledger::member_key(self.me);
-        let stamp = self
-            .core
-            .borrow()
-            .ledger
-            .members
-            .get(&self.me)
-            .map_or(Revision(0), |m| m.1);
+        let stamp = self.core.borrow().ledger.members.get(&self.me).map_or(Revision(0), |m| m.1);
         let sent = self.now();
         let txn = Txn {
-            guards: vec![Guard {
-                path: key.clone(),
-                stamp,
-            }],
+            guards: vec![Guard { path: key.clone(), stamp }],
             apply: vec![Change::Set {
                 path: key,
                 value: wire::to_value(&MemberRecord { life: self.life }),
@@ -483,16 +459,9 @@
                 return Err(StateError::NoLease);
             };
             let term = Term(core.ledger.term.0 + 1);
-            let lead = LeadRecord {
-                node: self.me,
-                life: self.life,
-                term,
-            };
+            let lead = LeadRecord { node: self.me, life: self.life, term };
             let stamp = core.ledger.lead.as_ref().map_or(Revision(0), |l| l.1);
-            let guard = |path: &str, stamp| Guard {
-                path: path.into(),
-                stamp,
-            };
+            let guard = |path: &str, stamp| Guard { path: path.into(), stamp };
             let txn = Txn {
                 guards: vec![
                     guard(ledger::LEAD_KEY, stamp),
@@ -527,11 +496,7 @@
             let _ = timeout(SUMMARY, self.wake_part.notified()).await;
             let leader = {
                 let core = self.core.borrow();
-                core.ledger
-                    .lead
-                    .as_ref()
-                    .filter(|_| core.loaded)
-                    .map(|(r, _)| r.node)
+                core.ledger.lead.as_ref().filter(|_| core.loaded).map(|(r, _)| r.node)
             };
             let Some(leader) = leader else {
                 sleep(SUMMARY_LEAST).await;
@@ -593,13 +558,8 @@
     pub(crate) async fn ask(&self, node: NodeId, ask: &Ask, limit_ms: u64) -> Option<Tell> {
         let client = self.peers.get(usize::from(node.0))?;
         let body = peer::encode(ask);
-        let answer = client
-            .call("POST", "/peer", &body, Duration::from_millis(limit_ms))
-            .await;
-        answer
-            .ok()
-            .filter(|a| a.status == 200)
-            .and_then(|a| peer::decode(&a.body))
+        let answer = client.call("POST", "/peer", &body, Duration::from_millis(limit_ms)).await;
+        answer.ok().filter(|a| a.status == 200).and_then(|a| peer::decode(&a.body))
     }
 
     async fn answer_peer(&self, path: &str, body: &[u8]) -> Response {
@@ -607,10 +567,7 @@
             return Response::empty(404);
         }
         let Some(ask) = peer::decode::<Ask>(body) else {
-            return Response {
-                close: true,
-                ..Response::empty(400)
-            };
+            return Response { close: true, ..Response::empty(400) };
         };
         let tell = match ask {
             Ask::Summary(s) => {
@@ -661,12 +618,9 @@
         }
         match answer {
             crate::part::ReportAnswer::Take(reply) => Response::new(200, wire::encode(&reply)),
-            crate::part::ReportAnswer::Go(name) => Response::new(
-                421,
-                wire::encode(&wire::Redirect {
-                    steward: Some(name),
-                }),
-            ),
+            crate::part::ReportAnswer::Go(name) => {
+                Response::new(421, wire::encode(&wire::Redirect { steward: Some(name) }))
+            }
             crate::part::ReportAnswer::Refuse => Response::later(1),
         }
     }
@@ -676,10 +630,10 @@
     async fn relay_summary(&self, leader: NodeId, summary: &Summary) {
         let guard = {
             let core = self.core.borrow();
-            core.ledger.members.get(&self.me).map(|m| Guard {
-                path: ledger::member_key(self.me),
-                stamp: m.1,
-            })
+            core.ledger
+                .members
+                .get(&self.me)
+                .map(|m| Guard { path: ledger::member_key(self.me), stamp: m.1 })
         };
         let Some(guard) = guard else { return };
         self.relay(leader, guard, &peer::encode(summary)).await;
@@ -701,10 +655,7 @@
                 lease: None,
             })
             .collect();
-        let txn = Txn {
-            guards: vec![guard],
-            apply,
-        };
+        let txn = Txn { guards: vec![guard], apply };
         if let Err(e) = self.store.commit(&txn).await {
             debug!(error = %e, "message through the store failed");
         }
@@ -712,14 +663,8 @@
 
     /// Takes messages that came through the store.
     fn take_relayed(&self) {
-        let mut senders: Vec<u8> = self
-            .core
-            .borrow()
-            .ledger
-            .relay
-            .keys()
-            .map(|(from, _)| *from)
-            .collect();
+        let mut senders: Vec<u8> =
+            self.core.borrow().ledger.relay.keys().map(|(from, _)| *from).collect();
         senders.dedup();
         for from in senders {
             let message = {
@@ -809,6 +754,7 @@
             info!(%term, reason, "taking a new term");
             if let Err(e) = self.take_lead().await {
                 debug!(error = %e, "new term undecided");
+                sleep(Duration::from_millis(500)).await;
             }
             return;
         }
@@ -847,11 +793,7 @@
         let mut core = self.core.borrow_mut();
         for change in &txn.apply {
             if let Change::Set { path, value, .. } = change {
-                let item = Item {
-                    path: path.clone(),
-                    v: value.clone(),
-                    stamp,
-                };
+                let item = Item { path: path.clone(), v: value.clone(), stamp };
                 core.ledger.load(&item, &mut brought);
             }
         }
@@ -870,10 +812,7 @@
             sleep(Duration::from_millis(400)).await;
             let leading = {
                 let core = self.core.borrow();
-                core.lead
-                    .as_ref()
-                    .filter(|_| core.rights.may_lead(self.now()))
-                    .map(|l| l.term)
+                core.lead.as_ref().filter(|_| core.rights.may_lead(self.now())).map(|l| l.term)
             };
             let known = !self.core.borrow().flavors.is_empty();
             let due = priced.is_none_or(|at| self.now().since(at) > 30_000);
@@ -910,18 +849,12 @@
         let Ok(got) = self.cloud.flavors().await else {
             return false;
         };
-        let mut core = self.core.borrow_mut();
-        core.flavors = got
-            .hulls
-            .iter()
-            .map(|f| (f.sku.clone(), f.clone()))
-            .collect();
         // The types are kept in the store for controllers that start while the cloud is down.
-        let guard = core
-            .ledger
-            .lead_guard()
-            .filter(|_| leading && core.ledger.flavors.is_none());
-        drop(core);
+        let guard = {
+            let mut core = self.core.borrow_mut();
+            core.flavors = got.hulls.iter().map(|f| (f.sku.clone(), f.clone())).collect();
+            core.ledger.lead_guard().filter(|_| leading && core.ledger.flavors.is_none())
+        };
         if let Some(guard) = guard {
             let txn = Txn {
                 guards: vec![guard],
@@ -1065,10 +998,7 @@
             let Some(progress) = Ledger::with_done(job, tasks.iter().copied()) else {
                 continue;
             };
-            txn.guards.push(Guard {
-                path: ledger::progress_key(*id),
-                stamp: job.progress_stamp,
-            });
+            txn.guards.push(Guard { path: ledger::progress_key(*id), stamp: job.progress_stamp });
             txn.apply.push(Change::Set {
                 path: ledger::progress_key(*id),
                 value: wire::to_value(&progress),
@@ -1112,11 +1042,7 @@
                 return;
             }
             let txn = self.accept_txn(&batch);
-            match self
-                .store
-                .commit_hedged(&txn, Duration::from_millis(60))
-                .await
-            {
+            match self.store.commit_hedged(&txn, Duration::from_millis(60)).await {
                 Ok(Committed::Yes(stamp)) => {
                     self.apply_own(&txn, stamp);
                     for (_, tx) in batch {
@@ -1153,19 +1079,9 @@
             if txn.guards.iter().any(|g| g.path == path) {
                 continue;
             }
-            txn.guards.push(Guard {
-                path: path.clone(),
-                stamp: Revision(0),
-            });
-            let accepted = ledger::Accepted {
-                spec: spec.clone(),
-                at,
-            };
-            txn.apply.push(Change::Set {
-                path,
-                value: wire::to_value(&accepted),
-                lease: None,
-            });
+            txn.guards.push(Guard { path: path.clone(), stamp: Revision(0) });
+            let accepted = ledger::Accepted { spec: spec.clone(), at };
+            txn.apply.push(Change::Set { path, value: wire::to_value(&accepted), lease: None });
         }
         txn
     }
@@ -1184,22 +1100,11 @@
             };
             let path = ledger::progress_key(id);
             Txn {
-                guards: vec![Guard {
-                    path: path.clone(),
-                    stamp: job.progress_stamp,
-                }],
-                apply: vec![Change::Set {
-                    path,
-                    value: wire::to_value(&progress),
-                    lease: None,
-                }],
+                guards: vec![Guard { path: path.clone(), stamp: job.progress_stamp }],
+                apply: vec![Change::Set { path, value: wire::to_value(&progress), lease: None }],
             }
         };
-        match self
-            .store
-            .commit_hedged(&txn, Duration::from_millis(150))
-            .await?
-        {
+        match self.store.commit_hedged(&txn, Duration::from_millis(150)).await? {
             Committed::Yes(stamp) => {
                 self.apply_own(&txn, stamp);
                 Ok(true)
--- a/src/state.rs
+++ b/src/state.rs
@@ -54,12 +54,7 @@
 impl Bucket {
     /// A full bucket.
     pub fn new(rate: f64, burst: f64, now: Instant) -> Self {
-        Bucket {
-            rate,
-            burst: burst.max(1.0),
-            level: burst.max(1.0),
-            at: now,
-        }
+        Bucket { rate, burst: burst.max(1.0), level: burst.max(1.0), at: now }
     }
     /// Takes `n`, going into debt if need be, and says how long to wait for that.
     pub fn take(&mut self, n: f64, now: Instant) -> Duration {
@@ -198,11 +193,7 @@
         self.pace(0).await;
         let path = format!("/changes?Starts=&After={after}&WaitMs={}", wait.as_millis());
         let limit = wait + self.limit;
-        let client = if wait.is_zero() {
-            &self.http
-        } else {
-            &self.watch
-        };
+        let client = if wait.is_zero() { &self.http } else { &self.watch };
         Self::body(&Self::checked(client.call("GET", &path, &[], limit).await)?)
     }
 
@@ -245,13 +236,8 @@
 
     #[test]
     fn statuses_say_whether_a_request_was_carried_out() {
-        let answer = |status, body: &[u8]| {
-            Ok(Answer {
-                status,
-                body: body.to_vec(),
-                retry_after: None,
-            })
-        };
+        let answer =
+            |status, body: &[u8]| Ok(Answer { status, body: body.to_vec(), retry_after: None });
         let lease = wire::encode(&cbor!({"error" => "no such lease"}).unwrap());
         let cases = [
             (answer(503, b""), Some(StateError::Refused(503))),
--- a/src/term.rs
+++ b/src/term.rs
@@ -28,10 +28,7 @@
 impl Rights {
     /// No rights yet; `keep_alive_ms` is how long a proof of being current lasts.
     pub fn new(keep_alive_ms: u64) -> Self {
-        Rights {
-            keep_alive_ms,
-            ..Rights::default()
-        }
+        Rights { keep_alive_ms, ..Rights::default() }
     }
 
     /// A renewal of the lease that holds this node's key was confirmed; it was sent then.
@@ -62,9 +59,7 @@
     /// Whether this node may still take itself for the leader, if it was elected.
     pub fn may_lead(&self, now: Steady) -> bool {
         self.lease.is_some()
-            && self
-                .renewed
-                .is_some_and(|r| now < r.plus(less_drift(LEASE_MS).saturating_sub(100)))
+            && self.renewed.is_some_and(|r| now < r.plus(less_drift(LEASE_MS).saturating_sub(100)))
     }
 
     /// Milliseconds since the replica was known to be current.
@@ -81,9 +76,7 @@
 /// The latest moment, by the leader's clock, at which a node whose key is absent since
 /// `absent` can have answered a report: its last renewal was a whole lease earlier.
 pub fn last_right(absent: Steady, keep_alive_ms: u64) -> Steady {
-    absent
-        .less(less_drift(LEASE_MS))
-        .plus(plus_drift(keep_alive_ms))
+    absent.less(less_drift(LEASE_MS)).plus(plus_drift(keep_alive_ms))
 }
 
 /// Gives out attempts of a node within a term.
@@ -99,8 +92,8 @@
     pub fn new(term: Term, node: NodeId) -> Self {
         Attempts { term, node, n: 0 }
     }
-    /// The next attempt.
-    pub fn next(&mut self) -> Attempt {
+    /// A new attempt.
+    pub fn give(&mut self) -> Attempt {
         self.n += 1;
         Attempt::of(self.term, self.node, self.n)
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -48,11 +48,7 @@
             f.write_str("an amount")
         }
         fn visit_f64<E: de::Error>(self, v: f64) -> Result<f64, E> {
-            if v.is_finite() {
-                Ok(v)
-            } else {
-                Err(E::custom("an amount must be finite"))
-            }
+            if v.is_finite() { Ok(v) } else { Err(E::custom("an amount must be finite")) }
         }
         fn visit_u64<E: de::Error>(self, v: u64) -> Result<f64, E> {
             Ok(v as f64)
@@ -622,10 +618,8 @@
     struct Probe;
     impl<'de> Deserialize<'de> for Probe {
         fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
-            d.deserialize_any(AnyMap).and_then(|m| {
-                m.then_some(Probe)
-                    .ok_or_else(|| de::Error::custom("not a map"))
-            })
+            d.deserialize_any(AnyMap)
+                .and_then(|m| m.then_some(Probe).ok_or_else(|| de::Error::custom("not a map")))
         }
     }
     decode::<Probe>(body).is_ok()
@@ -766,11 +760,7 @@
         let want =
             cbor!({"Verb" => "kill", "Piece" => "wk-000377/1", "Try" => 1, "LeewayS" => 10.0});
         assert_eq!(to_value(&order), want.unwrap());
-        let set = Change::Set {
-            path: "a".into(),
-            value: 1.into(),
-            lease: None,
-        };
+        let set = Change::Set { path: "a".into(), value: 1.into(), lease: None };
         assert_eq!(to_value(&set), cbor!({"Set" => "a", "V" => 1}).unwrap());
     }
 }
