--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -43,36 +43,42 @@
     pub spec: &'a JobSpec,
     /// How many.
     pub tasks: u32,
-    /// How long one runs, as far as known.
-    pub run_s: f64,
-    /// Whether they must start within seconds.
-    pub urgent: bool,
+    /// How many of the job's tasks run or are about to.
+    pub running: u32,
+    /// Whether they run shorter than it takes to rent a machine for them.
+    pub brief: bool,
 }
 
 /// What is remembered from epoch to epoch.
 #[derive(Clone, Debug, Default)]
 pub struct Market {
     refused: HashMap<Offer, Steady>,
-    /// Recent peak of cores that urgent work used or wanted, decaying.
-    urgent_peak: f64,
-    /// Recent peak of all cores used or wanted, decaying.
+    /// Cores that brief work used or wanted: recent peak, decaying, and mean.
     peak: f64,
+    mean: f64,
     at: Steady,
 }
 
 /// Time in which a remembered peak halves.
 const PEAK_HALVES_S: f64 = 90.0;
+/// Time over which the mean is taken.
+const MEAN_OVER_S: f64 = 60.0;
 /// How long an offer that was refused is not asked for again.
 const REFUSED_MS: u64 = 15_000;
 /// What a spot machine's price counts for, as it may be lost with work on it.
 const SPOT_RISK: f64 = 1.15;
 /// Idle seconds after which a machine may be returned, spot and ordinary.
 const IDLE_SPOT_S: f64 = 60.0;
-const IDLE_ORDINARY_S: f64 = 25.0;
+const IDLE_ORDINARY_S: f64 = 20.0;
 /// A machine that is deleted costs at least that long.
 const LEAST_PAID_S: f64 = 60.0;
-/// Share of the recent peak of urgent work that is kept ready.
-const READY_SHARE: f64 = 1.0;
+/// Work that runs shorter than this part of a boot time is brief: by the time a machine
+/// rented for it is up, it has found room or missed its time.
+const BRIEF: f64 = 0.8;
+/// What of the peak of brief work is kept ready on spot machines, and how much more than
+/// its mean on machines of any kind.
+const READY_SPOT: f64 = 1.0;
+const READY_ANY: f64 = 1.1;
 
 /// The decision.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -89,13 +95,18 @@
         self.refused.insert(offer.clone(), now.plus(REFUSED_MS));
     }
 
-    /// Notes what is used and wanted now.
-    pub fn note(&mut self, now: Steady, urgent: Cores, all: Cores) {
+    /// Notes the cores that brief work uses and wants now.
+    pub fn note(&mut self, now: Steady, brief: Cores) {
         let dt = now.since(self.at) as f64 / 1000.0;
         self.at = now;
-        let keep = 0.5f64.powf(dt / PEAK_HALVES_S);
-        self.urgent_peak = (self.urgent_peak * keep).max(urgent.amount());
-        self.peak = (self.peak * keep).max(all.amount());
+        self.peak = (self.peak * 0.5f64.powf(dt / PEAK_HALVES_S)).max(brief.amount());
+        let keep = (-dt / MEAN_OVER_S).exp();
+        self.mean = self.mean * keep + brief.amount() * (1.0 - keep);
+    }
+
+    /// Cores to keep for brief work, on spot machines or on any.
+    fn ready(&self, spot: bool) -> f64 {
+        if spot { self.peak * READY_SPOT } else { self.mean * READY_ANY }
     }
 
     fn open(&self, offer: &Offer, now: Steady) -> bool {
@@ -112,6 +123,13 @@
         .min(10_000) as u32
 }
 
+/// Whether work is brief in comparison with how long machines boot.
+pub fn is_brief(flavors: &Flavors, spec: &JobSpec, run_s: f64) -> bool {
+    let need = Need::of(spec);
+    let boots = flavors.values().filter(|f| slots(&need, &Need::offered(f)) > 0);
+    boots.map(|f| f.startup_s).min_by(f64::total_cmp).is_some_and(|boot| run_s < boot * BRIEF)
+}
+
 /// Decides what to rent and what to return.
 pub fn decide(
     now: Steady,
@@ -119,7 +137,6 @@
     held: &[Held],
     wants: &[Want<'_>],
     market: &Market,
-    pending: &[(Offer, u32)],
 ) -> Decision {
     let mut bins: Vec<(Offer, Need)> = Vec::new();
     for h in held.iter().filter(|h| !h.leaving) {
@@ -129,80 +146,81 @@
             bins.push((h.offer.clone(), h.free));
         }
     }
-    for (offer, n) in pending {
-        if let Some(f) = flavors.get(&offer.hull) {
-            bins.extend((0..*n).map(|_| (offer.clone(), Need::offered(f))));
-        }
-    }
     let mut rent: BTreeMap<Offer, u32> = BTreeMap::new();
     let per_zone = |zone: &str| held.iter().filter(|h| h.offer.zone == zone).count();
-    for want in wants {
-        rent_for(now, flavors, want, market, &mut bins, &mut rent, &per_zone);
+    for want in wants.iter().filter(|w| !w.brief) {
+        rent_for(now, flavors, want, true, market, &mut bins, &mut rent, &per_zone);
     }
-    keep_ready(now, flavors, wants, market, &mut bins, &mut rent, &per_zone);
-    Decision {
-        retire: if rent.is_empty() { retire(flavors, held, market) } else { Vec::new() },
-        rent: rent.into_iter().collect(),
+    // What is free or brief work already has counts for the cores kept ready for it.
+    let in_use: f64 = wants
+        .iter()
+        .filter(|w| w.brief)
+        .map(|w| Need::of(w.spec).cores.amount() * f64::from(w.running))
+        .sum();
+    if let Some(model) = wants.iter().filter(|w| w.brief).max_by_key(|w| w.tasks + w.running) {
+        let each = Need::of(model.spec).cores.amount();
+        for spot in [true, false] {
+            let lacking = market.ready(spot) - in_use;
+            if each > 0.0 && lacking > 0.0 {
+                let ready = Want { tasks: (lacking / each).ceil() as u32, ..model.clone() };
+                let mut copy = bins.clone();
+                rent_for(now, flavors, &ready, !spot, market, &mut copy, &mut rent, &per_zone);
+            }
+        }
     }
+    let retire = if rent.is_empty() { retire(flavors, held, market, in_use) } else { vec![] };
+    Decision { retire, rent: rent.into_iter().collect() }
 }
 
+#[allow(clippy::too_many_arguments)]
 fn rent_for(
     now: Steady,
     flavors: &Flavors,
     want: &Want<'_>,
+    ordinary: bool,
     market: &Market,
     bins: &mut Vec<(Offer, Need)>,
     rent: &mut BTreeMap<Offer, u32>,
     per_zone: &dyn Fn(&str) -> usize,
 ) {
     let need = Need::of(want.spec);
-    let ok = |o: &Offer| allowed(want.spec, &o.hull, &o.zone, o.spot);
     let mut left = want.tasks;
-    for (offer, free) in bins.iter_mut().filter(|(o, _)| ok(o)) {
+    for (offer, free) in bins.iter_mut() {
+        if !allowed(want.spec, &offer.hull, &offer.zone, offer.spot) {
+            continue;
+        }
         while left > 0 && need.fits(free) {
             need.take_from(free);
             left -= 1;
         }
-        if left == 0 {
-            return;
-        }
-        let _ = offer;
     }
-    // What runs shorter than a machine boots will mostly find room before it is up.
-    let mut guard = 0;
-    while left > 0 && guard < 64 {
-        guard += 1;
-        let Some((offer, offered)) =
-            cheapest(now, flavors, want.spec, &need, left, market, rent, per_zone)
-        else {
-            return;
+    while left > 0 {
+        let open = |o: &Offer| {
+            (ordinary || o.spot)
+                && allowed(want.spec, &o.hull, &o.zone, o.spot)
+                && market.open(o, now)
         };
-        let boot = flavors.get(&offer.hull).map_or(60.0, |f| f.startup_s).max(1.0);
-        let weight = (want.run_s / boot).clamp(0.3, 1.0);
-        let fit = slots(&need, &offered).max(1);
-        if f64::from(left) * weight < 0.5 * f64::from(fit.min(want.tasks)) && guard > 1 {
+        let Some((offer, offered)) = cheapest(flavors, &need, left, &open, rent, per_zone) else {
             return;
-        }
-        let taken = ((f64::from(fit) / weight) as u32).clamp(1, left);
+        };
+        let fit = slots(&need, &offered).clamp(1, left);
         let mut free = offered;
-        for _ in 0..fit.min(left) {
+        for _ in 0..fit {
             need.take_from(&mut free);
         }
-        left -= taken;
+        left -= fit;
         bins.push((offer.clone(), free));
         *rent.entry(offer).or_default() += 1;
     }
 }
 
-/// The offer with the lowest price per task that it would hold of those that are left.
-#[allow(clippy::too_many_arguments)]
+/// The offer with the lowest price per task that it would hold of those that are left; among
+/// equals the zone with fewer machines.
 fn cheapest(
-    now: Steady,
     flavors: &Flavors,
-    spec: &JobSpec,
     need: &Need,
     left: u32,
-    market: &Market,
+    open: &dyn Fn(&Offer) -> bool,
     rent: &BTreeMap<Offer, u32>,
     per_zone: &dyn Fn(&str) -> usize,
 ) -> Option<(Offer, Need)> {
@@ -213,59 +231,35 @@
         if fit == 0 {
             continue;
         }
-        for zone in &f.yards {
-            for spot in [true, false] {
-                let offer = Offer { hull: f.sku.clone(), zone: zone.clone(), spot };
-                if !allowed(spec, &offer.hull, zone, spot) || !market.open(&offer, now) {
-                    continue;
-                }
-                let price = if spot { f.market_price * SPOT_RISK } else { f.hourly };
-                let per_task = price / f64::from(fit.min(left.max(1)));
-                let crowd = per_zone(zone) + rent.get(&offer).copied().unwrap_or(0) as usize;
-                let better = best.as_ref().is_none_or(|(p, c, o, _)| {
-                    per_task < p * 0.999 || (per_task < p * 1.001 && (crowd, &offer) < (*c, o))
-                });
-                if better {
-                    best = Some((per_task, crowd, offer, offered));
-                }
+        for (zone, spot) in f.yards.iter().flat_map(|z| [(z, true), (z, false)]) {
+            let offer = Offer { hull: f.sku.clone(), zone: zone.clone(), spot };
+            if !open(&offer) {
+                continue;
+            }
+            let price = if spot { f.market_price * SPOT_RISK } else { f.hourly };
+            let per_task = price / f64::from(fit.min(left.max(1)));
+            let crowd = per_zone(zone) + rent.get(&offer).copied().unwrap_or(0) as usize;
+            let better = best.as_ref().is_none_or(|(p, c, o, _)| {
+                per_task < p * 0.999 || (per_task < p * 1.001 && (crowd, &offer) < (*c, o))
+            });
+            if better {
+                best = Some((per_task, crowd, offer, offered));
             }
         }
     }
     best.map(|(_, _, offer, offered)| (offer, offered))
 }
 
-/// Rents spot machines so that urgent work of the recent peak would find room at once.
-fn keep_ready(
-    now: Steady,
-    flavors: &Flavors,
-    wants: &[Want<'_>],
-    market: &Market,
-    bins: &mut Vec<(Offer, Need)>,
-    rent: &mut BTreeMap<Offer, u32>,
-    per_zone: &dyn Fn(&str) -> usize,
-) {
-    let Some(urgent) = wants.iter().find(|w| w.urgent) else {
-        return;
-    };
-    let need = Need::of(urgent.spec);
-    if need.cores.0 == 0 {
-        return;
-    }
-    let in_use = market.urgent_peak;
-    let tasks = (in_use * READY_SHARE / need.cores.amount()).ceil() as u32;
-    let ready = Want { spec: urgent.spec, tasks, run_s: f64::INFINITY, urgent: true };
-    rent_for(now, flavors, &ready, market, bins, rent, per_zone);
-}
-
-/// Machines that have been idle for long, dearest first, as long as what stays free holds
-/// the urgent work of the recent peak.
-fn retire(flavors: &Flavors, held: &[Held], market: &Market) -> Vec<MachineId> {
+/// Machines that have been idle for long, dearest first, as long as what stays holds the
+/// brief work that is to be expected.
+fn retire(flavors: &Flavors, held: &[Held], market: &Market, in_use: f64) -> Vec<MachineId> {
     let price = |o: &Offer| {
         flavors
             .get(&o.hull)
             .map_or(0.0, |f| (if o.spot { f.market_price } else { f.hourly }) / f.vcpus.max(0.001))
     };
-    let mut free: f64 = held.iter().filter(|h| !h.leaving).map(|h| h.free.cores.amount()).sum();
+    let mut room: f64 =
+        in_use + held.iter().filter(|h| !h.leaving).map(|h| h.free.cores.amount()).sum::<f64>();
     let mut idle: Vec<&Held> = held
         .iter()
         .filter(|h| !h.leaving && !h.booting && h.age_s >= LEAST_PAID_S)
@@ -274,10 +268,10 @@
     idle.sort_by(|a, b| price(&b.offer).total_cmp(&price(&a.offer)).then_with(|| a.id.cmp(&b.id)));
     let mut out = Vec::new();
     for h in idle {
-        if free - h.free.cores.amount() < market.urgent_peak * READY_SHARE {
+        if room - h.free.cores.amount() < market.ready(h.offer.spot) {
             continue;
         }
-        free -= h.free.cores.amount();
+        room -= h.free.cores.amount();
         out.push(h.id.clone());
     }
     out
@@ -307,39 +301,55 @@
         }
     }
 
+    fn want(job: &JobSpec, tasks: u32, brief: bool) -> Want<'_> {
+        Want { spec: job, tasks, running: 0, brief }
+    }
+    fn rented(d: &Decision) -> u32 {
+        d.rent.iter().map(|r| r.1).sum()
+    }
+
     #[test]
     fn what_does_not_fit_is_rented_where_it_is_cheap() {
         let job = spec(1, 4); // 4 cores: two fit on a machine
-        let want = |tasks| Want { spec: &job, tasks, run_s: 100.0, urgent: false };
-        let count = |d: Decision| d.rent.iter().map(|r| r.1).sum::<u32>();
         let mut market = Market::default();
         let f = flavors();
         let now = Steady(1_000);
-        let d = decide(now, &f, &[], &[want(4)], &market, &[]);
+        let d = decide(now, &f, &[], &[want(&job, 4, false)], &market);
         assert!(d.rent.iter().all(|(o, _)| o.spot));
-        assert_eq!(d.rent.len(), 2, "spread over zones");
-        assert_eq!(count(d), 2);
-        assert_eq!(count(decide(now, &f, &[held("n-1", true, 0.0)], &[want(4)], &market, &[])), 1);
-        let coming = [(offer("a", true), 2)];
-        assert_eq!(count(decide(now, &f, &[], &[want(4)], &market, &coming)), 0);
+        assert_eq!((d.rent.len(), rented(&d)), (2, 2), "spread over zones");
+        let one = [held("n-1", true, 0.0)];
+        assert_eq!(rented(&decide(now, &f, &one, &[want(&job, 4, false)], &market)), 1);
+        assert_eq!(rented(&decide(now, &f, &[], &[want(&job, 4, true)], &market)), 0, "brief");
         market.refused(&offer("a", true), now);
         market.refused(&offer("b", true), now);
-        let d = decide(now, &f, &[], &[want(2)], &market, &[]);
+        let d = decide(now, &f, &[], &[want(&job, 2, false)], &market);
         assert!(d.rent.iter().all(|(o, _)| !o.spot), "ordinary ones when spot is refused");
-        let d = decide(now.plus(REFUSED_MS), &f, &[], &[want(2)], &market, &[]);
+        let d = decide(now.plus(REFUSED_MS), &f, &[], &[want(&job, 2, false)], &market);
         assert!(d.rent.iter().all(|(o, _)| o.spot), "refusals pass");
     }
 
     #[test]
-    fn idle_machines_go_unless_urgent_work_may_need_them() {
+    fn brief_work_has_spot_machines_ready_for_its_peak() {
+        let f = flavors();
+        let job = spec(1, 4);
+        let mut market = Market::default();
+        market.note(Steady(0), Cores(16_000));
+        let d = decide(Steady(1_000), &f, &[], &[want(&job, 1, true)], &market);
+        assert_eq!(rented(&d), 2);
+        assert!(d.rent.iter().all(|(o, _)| o.spot));
+        let d = decide(Steady(900_000), &f, &[held("n-1", true, 0.0)], &[], &market);
+        assert_eq!(d, Decision::default(), "nothing is wanted any more");
+    }
+
+    #[test]
+    fn idle_machines_go_unless_brief_work_may_need_them() {
         let f = flavors();
         let mut market = Market::default();
-        let now = Steady(1_000);
         let all = [held("n-1", true, 70.0), held("n-2", false, 70.0), held("n-3", true, 10.0)];
-        let d = decide(now, &f, &all, &[], &market, &[]);
+        let d = decide(Steady(1_000), &f, &all, &[], &market);
         assert_eq!(d.retire, [MachineId::new("n-2"), MachineId::new("n-1")]);
-        market.note(now, Cores(16_000), Cores(16_000));
-        let d = decide(now, &f, &all, &[], &market, &[]);
+        market.note(Steady(1_000), Cores(16_000));
+        let d = decide(Steady(1_000), &f, &all, &[], &market);
         assert_eq!(d.retire, [MachineId::new("n-2")], "the dearest goes first");
     }
 }
--- a/src/http.rs
+++ b/src/http.rs
@@ -16,6 +16,7 @@
 
 const HEAD_LIMIT: usize = 8 * 1024;
 const MAX_HEADERS: usize = 48;
+const READ_ROOM: usize = 4 * 1024;
 
 /// A request as the server hands it on.
 #[derive(Debug)]
@@ -222,7 +223,8 @@
     // A connection is as good without it: some systems refuse options on a connection whose
     // other side has not sent anything yet.
     let _ = stream.set_nodelay(true);
-    let mut buf: Vec<u8> = Vec::new();
+    // Room for a whole usual request, so that it takes one read.
+    let mut buf: Vec<u8> = Vec::with_capacity(READ_ROOM);
     loop {
         if buf.is_empty() {
             let idle = if crowded() { limits.idle_crowded } else { limits.idle };
@@ -247,7 +249,7 @@
         let body = buf[head.used..head.used + head.length].to_vec();
         buf.drain(..head.used + head.length);
         if buf.capacity() > 16 * 1024 && buf.is_empty() {
-            buf = Vec::new();
+            buf = Vec::with_capacity(READ_ROOM);
         }
         let close = head.close;
         let response =
@@ -417,7 +419,7 @@
         out.extend_from_slice(b"\r\n");
         out.extend_from_slice(body);
         stream.write_all(&out).await.map_err(|_| CallError::Connect)?;
-        let mut buf = Vec::with_capacity(1024);
+        let mut buf = Vec::with_capacity(READ_ROOM);
         loop {
             if let Some((status, fields, used)) = parse_answer(&buf)? {
                 let length = fields.length.unwrap_or(0);
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -896,7 +896,7 @@
         let now = ctx.now;
         let granting: HashSet<TaskId> = epoch.grants.iter().map(|g| g.0).collect();
         let mut wants: Vec<Want<'_>> = Vec::new();
-        let (mut urgent, mut all) = (Cores(0), Cores(0));
+        let mut brief_cores = Cores(0);
         let mut team_room: HashMap<&str, u64> = HashMap::new();
         for t in &ctx.settings.params.teams {
             let limit = t.core_limit().map_or(u64::MAX, |c| c.0);
@@ -917,20 +917,19 @@
             if let Some(r) = room {
                 *r = r.saturating_sub(need.cores.0 * u64::from(wanted));
             }
-            let is_urgent = job.spec.urgency <= Urgency::High;
-            all.0 += need.cores.0 * u64::from(wanted);
-            if is_urgent {
-                urgent.0 += need.cores.0 * u64::from(wanted);
+            let brief = capacity::is_brief(ctx.flavors, &job.spec, self.run_s(job));
+            if brief {
+                brief_cores.0 += need.cores.0 * u64::from(wanted);
             }
             let running = held.get(&job.spec.r#ref).copied().unwrap_or(0);
             wants.push(Want {
                 spec: &job.spec,
                 tasks: wanted.saturating_sub(running),
-                run_s: self.run_s(job),
-                urgent: is_urgent,
+                running,
+                brief,
             });
         }
-        self.market.note(now, urgent, all);
+        self.market.note(now, brief_cores);
         let free: HashMap<&MachineId, &Room> = rooms.iter().map(|r| (&r.id, r)).collect();
         let machines: Vec<Held> = self
             .fleet
@@ -952,7 +951,7 @@
                 }
             })
             .collect();
-        self.decision = capacity::decide(now, ctx.flavors, &machines, &wants, &self.market, &[]);
+        self.decision = capacity::decide(now, ctx.flavors, &machines, &wants, &self.market);
         let next = PlanSeq(self.seq + 1);
         for id in self.decision.retire.clone() {
             if let Some(m) = self.fleet.get_mut(&id) {
--- a/src/place.rs
+++ b/src/place.rs
@@ -113,9 +113,17 @@
 /// outweigh the fit, and among machines that are alike in that the tightest fit wins.
 const SPARE_CORE_S: f64 = 0.05;
 
+/// Seconds of waiting that are worth a spot machine instead of an ordinary one, so that the
+/// dearer ones run empty first.
+const ORDINARY_S: f64 = 0.5;
+
 /// The best machine for a task: shortest wait for the image, then the tightest fit.
 pub fn choose(spec: &JobSpec, need: &Need, rooms: &[Room], zone: Option<&str>) -> Option<usize> {
-    let cost = |r: &Room| r.fetch_s(spec) + r.free.cores.less(need.cores).amount() * SPARE_CORE_S;
+    let cost = |r: &Room| {
+        r.fetch_s(spec)
+            + r.free.cores.less(need.cores).amount() * SPARE_CORE_S
+            + if r.spot { 0.0 } else { ORDINARY_S }
+    };
     rooms
         .iter()
         .enumerate()
