--- a/src/lead.rs
+++ b/src/lead.rs
@@ -1282,11 +1282,14 @@
     let age = ctx.wall.0.saturating_sub(job.at.0) as f64 / 1000.0;
     let pressing = match due_s(ctx.settings, &job.spec) {
         Some(due) => {
-            let slack = due - age - run_s;
-            if slack < -0.5 * due {
-                0.7
-            } else {
-                1.0 + 1.0 / (1.0 + (slack.max(0.0) / run_s.max(5.0)))
+            let due = due.max(1.0);
+            let work = f64::from(job.remaining()) * run_s / due;
+            match due - age - run_s {
+                // Too late for its time: work that can still make it goes first.
+                late if late < -0.5 * due => 0.6,
+                late if late < 0.0 => 0.8,
+                // Among those that can make it, little work first: more jobs make it so.
+                _ => 1.0 + (1.0 + 0.3 * age / due) / (0.3 + work),
             }
         }
         None => 1.0 + age / 600.0,
--- a/src/place.rs
+++ b/src/place.rs
@@ -99,6 +99,11 @@
         spec.size_gb / rate * f64::from(1 + self.fetching)
     }
 
+    /// How many images of other jobs the machine has.
+    fn others(&self, spec: &JobSpec) -> usize {
+        self.images.iter().filter(|i| **i != spec.bundle).count()
+    }
+
     /// Counts a task in.
     pub fn add(&mut self, spec: &JobSpec, need: &Need) {
         need.take_from(&mut self.free);
@@ -113,16 +118,21 @@
 /// outweigh the fit, and among machines that are alike in that the tightest fit wins.
 const SPARE_CORE_S: f64 = 0.05;
 
-/// Seconds of waiting that are worth a spot machine instead of an ordinary one, so that the
-/// dearer ones run empty first.
-const ORDINARY_S: f64 = 0.5;
+/// Part of a task's run time that is worth waiting for a spot machine instead of an ordinary
+/// one, so that the dearer ones run empty first.
+const ORDINARY_PART: f64 = 0.08;
+
+/// Seconds of waiting that are worth leaving a machine to an image of other jobs that it has.
+/// Jobs gather on machines that have their image, and fetches become rare.
+const OTHER_IMAGE_S: f64 = 0.5;
 
 /// The best machine for a task: shortest wait for the image, then the tightest fit.
 pub fn choose(spec: &JobSpec, need: &Need, rooms: &[Room], zone: Option<&str>) -> Option<usize> {
     let cost = |r: &Room| {
         r.fetch_s(spec)
             + r.free.cores.less(need.cores).amount() * SPARE_CORE_S
-            + if r.spot { 0.0 } else { ORDINARY_S }
+            + if r.spot { 0.0 } else { spec.guess_s * ORDINARY_PART }
+            + r.others(spec) as f64 * OTHER_IMAGE_S
     };
     rooms
         .iter()
