--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -53,7 +53,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Market {
     refused: HashMap<Offer, Steady>,
-    /// Cores that brief work used or wanted: recent peak, decaying, and mean.
+    /// Cores that brief work used or wanted: recent peak of urgent work, decaying, and mean
+    /// of all.
     peak: f64,
     mean: f64,
     at: Steady,
@@ -75,10 +76,11 @@
 /// Work that runs shorter than this part of a boot time is brief: by the time a machine
 /// rented for it is up, it has found room or missed its time.
 const BRIEF: f64 = 0.8;
-/// What of the peak of brief work is kept ready on spot machines, and how much more than
-/// its mean on machines of any kind.
+/// What of the peak of urgent brief work is kept ready on spot machines and on any, and how
+/// much of the mean of all brief work.
 const READY_SPOT: f64 = 1.0;
-const READY_ANY: f64 = 1.1;
+const READY_ANY: f64 = 0.8;
+const READY_MEAN: f64 = 1.1;
 
 /// The decision.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -95,18 +97,19 @@
         self.refused.insert(offer.clone(), now.plus(REFUSED_MS));
     }
 
-    /// Notes the cores that brief work uses and wants now.
-    pub fn note(&mut self, now: Steady, brief: Cores) {
+    /// Notes the cores that brief work uses and wants now, and how many of them are urgent.
+    pub fn note(&mut self, now: Steady, brief: Cores, urgent: Cores) {
         let dt = now.since(self.at) as f64 / 1000.0;
         self.at = now;
-        self.peak = (self.peak * 0.5f64.powf(dt / PEAK_HALVES_S)).max(brief.amount());
+        self.peak = (self.peak * 0.5f64.powf(dt / PEAK_HALVES_S)).max(urgent.amount());
         let keep = (-dt / MEAN_OVER_S).exp();
         self.mean = self.mean * keep + brief.amount() * (1.0 - keep);
     }
 
     /// Cores to keep for brief work, on spot machines or on any.
     fn ready(&self, spot: bool) -> f64 {
-        if spot { self.peak * READY_SPOT } else { self.mean * READY_ANY }
+        let (mean, peak) = (self.mean * READY_MEAN, self.peak);
+        mean.max(peak * if spot { READY_SPOT } else { READY_ANY })
     }
 
     fn open(&self, offer: &Offer, now: Steady) -> bool {
@@ -147,9 +150,11 @@
         }
     }
     let mut rent: BTreeMap<Offer, u32> = BTreeMap::new();
+    let any = |o: &Offer| market.open(o, now);
+    let spot_only = |o: &Offer| o.spot && market.open(o, now);
     let per_zone = |zone: &str| held.iter().filter(|h| h.offer.zone == zone).count();
     for want in wants.iter().filter(|w| !w.brief) {
-        rent_for(now, flavors, want, true, market, &mut bins, &mut rent, &per_zone);
+        rent_for(flavors, want, &any, &mut bins, &mut rent, &per_zone);
     }
     // What is free or brief work already has counts for the cores kept ready for it.
     let in_use: f64 = wants
@@ -159,30 +164,29 @@
         .sum();
     if let Some(model) = wants.iter().filter(|w| w.brief).max_by_key(|w| w.tasks + w.running) {
         let each = Need::of(model.spec).cores.amount();
-        for spot in [true, false] {
-            let lacking = market.ready(spot) - in_use;
-            if each > 0.0 && lacking > 0.0 {
-                let ready = Want { tasks: (lacking / each).ceil() as u32, ..model.clone() };
-                let mut copy = bins.clone();
-                rent_for(now, flavors, &ready, !spot, market, &mut copy, &mut rent, &per_zone);
-            }
-        }
+        let tasks = |spot| {
+            let lacking = (market.ready(spot) - in_use).max(0.0);
+            if each > 0.0 { (lacking / each).ceil() as u32 } else { 0 }
+        };
+        let (on_spot, on_any) = (tasks(true), tasks(false));
+        let ready = |tasks| Want { tasks, ..model.clone() };
+        let left = rent_for(flavors, &ready(on_spot), &spot_only, &mut bins, &mut rent, &per_zone);
+        let more = left.saturating_sub(on_spot - on_any);
+        rent_for(flavors, &ready(more), &any, &mut bins, &mut rent, &per_zone);
     }
     let retire = if rent.is_empty() { retire(flavors, held, market, in_use) } else { vec![] };
     Decision { retire, rent: rent.into_iter().collect() }
 }
 
-#[allow(clippy::too_many_arguments)]
+/// Fills what is free with the wanted tasks and rents for the rest; says how many are left.
 fn rent_for(
-    now: Steady,
     flavors: &Flavors,
     want: &Want<'_>,
-    ordinary: bool,
-    market: &Market,
+    to_be_had: &dyn Fn(&Offer) -> bool,
     bins: &mut Vec<(Offer, Need)>,
     rent: &mut BTreeMap<Offer, u32>,
     per_zone: &dyn Fn(&str) -> usize,
-) {
+) -> u32 {
     let need = Need::of(want.spec);
     let mut left = want.tasks;
     for (offer, free) in bins.iter_mut() {
@@ -195,13 +199,9 @@
         }
     }
     while left > 0 {
-        let open = |o: &Offer| {
-            (ordinary || o.spot)
-                && allowed(want.spec, &o.hull, &o.zone, o.spot)
-                && market.open(o, now)
-        };
+        let open = |o: &Offer| to_be_had(o) && allowed(want.spec, &o.hull, &o.zone, o.spot);
         let Some((offer, offered)) = cheapest(flavors, &need, left, &open, rent, per_zone) else {
-            return;
+            return left;
         };
         let fit = slots(&need, &offered).clamp(1, left);
         let mut free = offered;
@@ -212,6 +212,7 @@
         bins.push((offer.clone(), free));
         *rent.entry(offer).or_default() += 1;
     }
+    left
 }
 
 /// The offer with the lowest price per task that it would hold of those that are left; among
@@ -333,7 +334,7 @@
         let f = flavors();
         let job = spec(1, 4);
         let mut market = Market::default();
-        market.note(Steady(0), Cores(16_000));
+        market.note(Steady(0), Cores(16_000), Cores(16_000));
         let d = decide(Steady(1_000), &f, &[], &[want(&job, 1, true)], &market);
         assert_eq!(rented(&d), 2);
         assert!(d.rent.iter().all(|(o, _)| o.spot));
@@ -348,7 +349,7 @@
         let all = [held("n-1", true, 70.0), held("n-2", false, 70.0), held("n-3", true, 10.0)];
         let d = decide(Steady(1_000), &f, &all, &[], &market);
         assert_eq!(d.retire, [MachineId::new("n-2"), MachineId::new("n-1")]);
-        market.note(Steady(1_000), Cores(16_000));
+        market.note(Steady(1_000), Cores(16_000), Cores(16_000));
         let d = decide(Steady(1_000), &f, &all, &[], &market);
         assert_eq!(d.retire, [MachineId::new("n-2")], "the dearest goes first");
     }
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -596,37 +596,9 @@
         let mut rooms: Vec<Room> = self
             .views()
             .filter_map(|(m, _, at)| {
-                let flavor = ctx.flavors.get(&m.hull)?;
                 let fleet = self.fleet.get(&m.id)?;
-                let mut free = Need::offered(flavor);
-                let mut known = true;
-                let mut fetching: HashSet<JobId> = HashSet::new();
-                for t in &m.tasks {
-                    match ctx.ledger.jobs.get(&t.task.job) {
-                        Some(j) => Need::of(&j.spec).take_from(&mut free),
-                        None => known = false,
-                    }
-                    if t.stage == PieceStage::Fetching {
-                        fetching.insert(t.task.job);
-                    }
-                }
-                let silent = m.silent_ms + ctx.now.0.saturating_sub(at);
-                Some(Room {
-                    id: m.id.clone(),
-                    hull: m.hull.clone(),
-                    zone: m.zone.clone(),
-                    spot: m.spot,
-                    free,
-                    images: m.images.clone(),
-                    fetching: fetching.len() as u32,
-                    fetch_rate: flavor.fetch_gb_per_s,
-                    open: known
-                        && silent < 4_000
-                        && m.warning_ms.is_none()
-                        && !m.shunned
-                        && fleet.draining.is_none()
-                        && ctx.ledger.machine_known(&m.id),
-                })
+                let heard = ctx.now.0.saturating_sub(at) < NODE_LOST_MS;
+                Room::of(m, ctx.flavors, ctx.ledger, heard && fleet.draining.is_none())
             })
             .collect();
         // Grants under way take room as well: on the machine that the part would choose.
@@ -896,7 +868,7 @@
         let now = ctx.now;
         let granting: HashSet<TaskId> = epoch.grants.iter().map(|g| g.0).collect();
         let mut wants: Vec<Want<'_>> = Vec::new();
-        let mut brief_cores = Cores(0);
+        let (mut brief_cores, mut urgent) = (Cores(0), Cores(0));
         let mut team_room: HashMap<&str, u64> = HashMap::new();
         for t in &ctx.settings.params.teams {
             let limit = t.core_limit().map_or(u64::MAX, |c| c.0);
@@ -919,7 +891,9 @@
             }
             let brief = capacity::is_brief(ctx.flavors, &job.spec, self.run_s(job));
             if brief {
-                brief_cores.0 += need.cores.0 * u64::from(wanted);
+                let cores = need.cores.0 * u64::from(wanted);
+                brief_cores.0 += cores;
+                urgent.0 += if job.spec.urgency <= Urgency::High { cores } else { 0 };
             }
             let running = held.get(&job.spec.r#ref).copied().unwrap_or(0);
             wants.push(Want {
@@ -929,7 +903,7 @@
                 brief,
             });
         }
-        self.market.note(now, brief_cores);
+        self.market.note(now, brief_cores, urgent);
         let free: HashMap<&MachineId, &Room> = rooms.iter().map(|r| (&r.id, r)).collect();
         let machines: Vec<Held> = self
             .fleet
--- a/src/part.rs
+++ b/src/part.rs
@@ -14,7 +14,9 @@
 use crate::peer::{Grant, MachineView, Plan, Stray, Summary, TaskView};
 use crate::place::{self, Flavors, Need, Room};
 use crate::term::Attempts;
-use crate::wire::{Cause, JobStage, Order, Piece, PieceStage, Report, ReportReply, Urgency};
+use crate::wire::{
+    Cause, JobSpec, JobStage, Order, Piece, PieceStage, Report, ReportReply, Urgency,
+};
 
 /// How a report is answered.
 #[derive(Clone, Debug, PartialEq)]
@@ -47,7 +49,7 @@
     heard: Steady,
     warned: Option<Steady>,
     tasks: BTreeMap<TaskId, Held>,
-    images: Vec<String>,
+    images: Vec<(String, f64)>,
     faults: u32,
     shun_until: Steady,
 }
@@ -70,15 +72,15 @@
         }
     }
 
-    fn remember_image(&mut self, image: &str) {
-        self.images.retain(|i| i != image);
-        self.images.push(image.to_string());
+    fn remember_image(&mut self, spec: &JobSpec) {
+        self.images.retain(|(name, _)| *name != spec.bundle);
+        self.images.push((spec.bundle.clone(), spec.size_gb));
     }
 
     /// Forgets the images that no longer fit into the machine's cache.
-    fn trim_images(&mut self, local_gb: f64, sizes: &HashMap<String, f64>) {
-        let size = |i: &String| sizes.get(i).copied().unwrap_or(1.0);
-        while self.images.len() > 1 && self.images.iter().map(size).sum::<f64>() > local_gb {
+    fn trim_images(&mut self, local_gb: f64) {
+        while self.images.len() > 1 && self.images.iter().map(|(_, gb)| gb).sum::<f64>() > local_gb
+        {
             self.images.remove(0);
         }
     }
@@ -132,7 +134,6 @@
     redirected: HashMap<MachineId, Steady>,
     strays: BTreeMap<MachineId, StrayRecord>,
     faults: HashMap<JobId, JobFaults>,
-    image_sizes: HashMap<String, f64>,
     /// Tasks that completed and whose outcome is not known to be durable yet.
     pub finished: BTreeMap<JobId, BTreeSet<u32>>,
     number: u64,
@@ -157,7 +158,6 @@
             redirected: HashMap::new(),
             strays: BTreeMap::new(),
             faults: HashMap::new(),
-            image_sizes: HashMap::new(),
             finished: BTreeMap::new(),
             number: 0,
             news: false,
@@ -317,17 +317,19 @@
                 Some(h) if h.attempt == p.r#try && h.stage == p.stage => h.since,
                 _ => now,
             };
+            if since == now && p.stage == PieceStage::Running {
+                tracing::debug!(task = %p.piece, machine = %report.host, "runs");
+            }
             tasks.insert(p.piece, Held { attempt: p.r#try, stage: p.stage, since });
             if let Some(job) = env.ledger.jobs.get(&p.piece.job) {
-                machine.remember_image(&job.spec.bundle);
-                self.image_sizes.insert(job.spec.bundle.clone(), job.spec.size_gb);
+                machine.remember_image(&job.spec);
             }
         }
         // A start that this report does not show was in a response that the worker dropped:
         // it has one report in flight at a time, so replacing the list forgets it rightly.
         machine.tasks = tasks;
         if let Some(f) = env.flavors.get(&machine.hull) {
-            machine.trim_images(f.local_gb, &self.image_sizes);
+            machine.trim_images(f.local_gb);
         }
         if machine.tasks.keys().copied().collect::<BTreeSet<_>>() != before {
             self.news = true;
@@ -402,11 +404,13 @@
     }
 
     fn start_granted(&mut self, env: &Surroundings<'_>, id: &MachineId, orders: &mut Vec<Order>) {
-        let here = self.rooms(env).iter().any(|r| r.id == *id && r.open);
-        if !here || self.grants.is_empty() {
+        if self.grants.is_empty() {
             return;
         }
         let mut rooms = self.rooms(env);
+        if !rooms.iter().any(|r| r.id == *id && r.open) {
+            return;
+        }
         let held: HashSet<TaskId> =
             self.machines.values().flat_map(|m| m.tasks.keys()).copied().collect();
         let mut grants: Vec<(Urgency, JobId, &Grant)> = self
@@ -431,17 +435,16 @@
                 };
                 rooms[i].add(&job.spec, &need);
                 if rooms[i].id == *id {
-                    starts.push((task, job.spec.bundle.clone(), job.spec.size_gb));
+                    starts.push((task, &job.spec));
                 }
             }
         }
         let Some(machine) = self.machines.get_mut(id) else {
             return;
         };
-        for (task, bundle, size) in starts {
+        for (task, spec) in starts {
             let attempt = self.attempts.give();
-            machine.remember_image(&bundle);
-            self.image_sizes.insert(bundle, size);
+            machine.remember_image(spec);
             machine
                 .tasks
                 .insert(task, Held { attempt, stage: PieceStage::Unknown, since: env.now });
@@ -453,42 +456,11 @@
 
     /// This part's machines as placement sees them.
     fn rooms(&self, env: &Surroundings<'_>) -> Vec<Room> {
-        let job = |t: &TaskId| env.ledger.jobs.get(&t.job);
         self.machines
             .iter()
             .filter_map(|(id, m)| {
-                let flavor = env.flavors.get(&m.hull)?;
-                let mut free = Need::offered(flavor);
-                let mut known = true;
-                for t in m.tasks.keys() {
-                    match job(t) {
-                        Some(j) => Need::of(&j.spec).take_from(&mut free),
-                        // A task of a job that has ended still takes room until it is gone.
-                        None => known = false,
-                    }
-                }
-                let fetching: HashSet<&str> = m
-                    .tasks
-                    .iter()
-                    .filter(|(_, h)| h.stage == PieceStage::Fetching)
-                    .filter_map(|(t, _)| Some(job(t)?.spec.bundle.as_str()))
-                    .collect();
-                Some(Room {
-                    id: id.clone(),
-                    hull: m.hull.clone(),
-                    zone: m.zone.clone(),
-                    spot: m.spot,
-                    free,
-                    images: m.images.clone(),
-                    fetching: fetching.len() as u32,
-                    fetch_rate: flavor.fetch_gb_per_s,
-                    open: known
-                        && m.warned.is_none()
-                        && m.shun_until <= env.now
-                        && env.now.since(m.heard) < 4_000
-                        && env.ledger.machine_known(id)
-                        && !self.drained.contains(id),
-                })
+                let view = self.view(id, m, env.now);
+                Room::of(&view, env.flavors, env.ledger, !self.drained.contains(id))
             })
             .collect()
     }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -47,8 +47,8 @@
     pub faults: u32,
     /// Tasks on it or on their way to it.
     pub tasks: Vec<TaskView>,
-    /// Images it has, most recently used last.
-    pub images: Vec<String>,
+    /// Images it has, with their sizes in GB, most recently used last.
+    pub images: Vec<(String, f64)>,
 }
 
 /// A machine that reports to a node that does not own it.
--- a/src/place.rs
+++ b/src/place.rs
@@ -3,8 +3,10 @@
 
 use std::collections::HashMap;
 
+use crate::ledger::Ledger;
 use crate::model::{Cores, MachineId};
-use crate::wire::{Flavor, JobSpec};
+use crate::peer::MachineView;
+use crate::wire::{Flavor, JobSpec, PieceStage};
 
 /// Machine types by name, with what their machines offer.
 pub type Flavors = HashMap<String, Flavor>;
@@ -71,10 +73,10 @@
     pub spot: bool,
     /// What is free; tasks that fetch their image count as there.
     pub free: Need,
-    /// Images that it has or fetches.
-    pub images: Vec<String>,
-    /// How many images it fetches.
-    pub fetching: u32,
+    /// Images that it has or fetches, with their sizes in GB.
+    pub images: Vec<(String, f64)>,
+    /// Images that it fetches.
+    pub fetching: Vec<String>,
     /// Rate of fetches in GB a second.
     pub fetch_rate: f64,
     /// Whether it takes new tasks.
@@ -92,26 +94,66 @@
 
     /// Seconds that a task would wait here for its image.
     fn fetch_s(&self, spec: &JobSpec) -> f64 {
-        if self.images.contains(&spec.bundle) {
-            return 0.0;
-        }
         let rate = if self.fetch_rate > 0.0 { self.fetch_rate } else { 1.0 };
-        spec.size_gb / rate * f64::from(1 + self.fetching)
+        let alone = spec.size_gb / rate;
+        if self.fetching.contains(&spec.bundle) {
+            // Somewhere on its way, and shared with whatever else is fetched.
+            alone * 0.5 * self.fetching.len() as f64
+        } else if self.has(&spec.bundle) {
+            0.0
+        } else {
+            alone * (1 + self.fetching.len()) as f64
+        }
+    }
+
+    fn has(&self, image: &str) -> bool {
+        self.images.iter().any(|(name, _)| name == image)
     }
 
-    /// How many images of other jobs the machine has.
-    fn others(&self, spec: &JobSpec) -> usize {
-        self.images.iter().filter(|i| **i != spec.bundle).count()
+    /// GB of images of other jobs that the machine has.
+    fn others_gb(&self, spec: &JobSpec) -> f64 {
+        self.images.iter().filter(|(name, _)| *name != spec.bundle).map(|(_, gb)| gb).sum()
     }
 
     /// Counts a task in.
     pub fn add(&mut self, spec: &JobSpec, need: &Need) {
         need.take_from(&mut self.free);
-        if !self.images.contains(&spec.bundle) {
-            self.images.push(spec.bundle.clone());
-            self.fetching += 1;
+        if !self.has(&spec.bundle) {
+            self.images.push((spec.bundle.clone(), spec.size_gb));
+            self.fetching.push(spec.bundle.clone());
         }
     }
+
+    /// A machine as its owner tells of it; `open` says what else speaks for or against it.
+    pub fn of(view: &MachineView, flavors: &Flavors, ledger: &Ledger, open: bool) -> Option<Self> {
+        let flavor = flavors.get(&view.hull)?;
+        let mut free = Need::offered(flavor);
+        let mut known = true;
+        let mut fetching: Vec<String> = Vec::new();
+        for t in &view.tasks {
+            // A task of a job that has ended still takes room until it is gone.
+            let Some(job) = ledger.jobs.get(&t.task.job) else {
+                known = false;
+                continue;
+            };
+            Need::of(&job.spec).take_from(&mut free);
+            if t.stage == PieceStage::Fetching && !fetching.contains(&job.spec.bundle) {
+                fetching.push(job.spec.bundle.clone());
+            }
+        }
+        let usable = view.silent_ms < SILENT_MS && view.warning_ms.is_none() && !view.shunned;
+        Some(Room {
+            id: view.id.clone(),
+            hull: view.hull.clone(),
+            zone: view.zone.clone(),
+            spot: view.spot,
+            free,
+            images: view.images.clone(),
+            fetching,
+            fetch_rate: flavor.fetch_gb_per_s,
+            open: open && known && usable && ledger.machine_known(&view.id),
+        })
+    }
 }
 
 /// Seconds of waiting that one core left over is worth avoiding: image fetches of many GB
@@ -122,9 +164,13 @@
 /// one, so that the dearer ones run empty first.
 const ORDINARY_PART: f64 = 0.08;
 
-/// Seconds of waiting that are worth leaving a machine to an image of other jobs that it has.
-/// Jobs gather on machines that have their image, and fetches become rare.
-const OTHER_IMAGE_S: f64 = 0.5;
+/// Seconds of waiting that are worth leaving a machine to the images of other jobs that it
+/// has, per GB of them. Jobs gather on machines that have their image, and fetches of large
+/// images become rare.
+const OTHER_IMAGES_S_PER_GB: f64 = 0.12;
+
+/// A machine that has not reported for that long takes nothing new.
+const SILENT_MS: u64 = 4_000;
 
 /// The best machine for a task: shortest wait for the image, then the tightest fit.
 pub fn choose(spec: &JobSpec, need: &Need, rooms: &[Room], zone: Option<&str>) -> Option<usize> {
@@ -132,7 +178,7 @@
         r.fetch_s(spec)
             + r.free.cores.less(need.cores).amount() * SPARE_CORE_S
             + if r.spot { 0.0 } else { spec.guess_s * ORDINARY_PART }
-            + r.others(spec) as f64 * OTHER_IMAGE_S
+            + r.others_gb(spec) * OTHER_IMAGES_S_PER_GB
     };
     rooms
         .iter()
@@ -185,7 +231,7 @@
                 memory: Cores(memory * 1000),
             },
             images: vec![],
-            fetching: 0,
+            fetching: vec![],
             fetch_rate: 0.5,
             open: true,
         }
@@ -199,7 +245,7 @@
             f(&mut r);
             r
         };
-        let has = |r: &mut Room| r.images.push("img".into());
+        let has = |r: &mut Room| r.images.push(("img".into(), 1.0));
         type Case = (&'static str, Vec<Room>, Option<&'static str>, Option<usize>);
         let cases: Vec<Case> = vec![
             ("none", vec![], None, None),
@@ -214,7 +260,12 @@
             ),
             (
                 "a machine that fetches much is slower",
-                vec![edit(room("n-1", 4, 64), |r| r.fetching = 3), room("n-2", 8, 64)],
+                vec![
+                    edit(room("n-1", 4, 64), |r| {
+                        r.fetching = ["x", "y", "z"].map(String::from).to_vec()
+                    }),
+                    room("n-2", 8, 64),
+                ],
                 None,
                 Some(1),
             ),
--- a/src/service.rs
+++ b/src/service.rs
@@ -1045,7 +1045,8 @@
             match self.store.commit_hedged(&txn, Duration::from_millis(60)).await {
                 Ok(Committed::Yes(stamp)) => {
                     self.apply_own(&txn, stamp);
-                    for (_, tx) in batch {
+                    for (spec, tx) in batch {
+                        debug!(job = %spec.r#ref, lane = %spec.lane, tasks = spec.pieces, "accepted");
                         let _ = tx.send(Accepting::New);
                     }
                     return;
