--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -61,7 +61,7 @@
 }
 
 /// Time in which a remembered peak halves.
-const PEAK_HALVES_S: f64 = 90.0;
+const PEAK_HALVES_S: f64 = 180.0;
 /// Time over which the mean is taken.
 const MEAN_OVER_S: f64 = 60.0;
 /// How long an offer that was refused is not asked for again.
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -145,7 +145,7 @@
         let unsettled: BTreeSet<MachineId> = ledger
             .machines
             .iter()
-            .filter(|(_, m)| m.0.gone.is_none())
+            .filter(|(_, m)| m.0.up && m.0.gone.is_none())
             .map(|(id, _)| id.clone())
             .collect();
         let mut lead = Lead {
@@ -947,7 +947,8 @@
         let views: HashMap<&MachineId, (&MachineView, NodeId)> =
             self.views().map(|(m, n, _)| (&m.id, (m, n))).collect();
         let lease = plus_drift(ctx.settings.worker_lease_ms()) + 1_000;
-        let calm = now.since(self.began) > lease + 3_000;
+        // Whoever is up has had a whole lease to report to this term's controllers.
+        let calm = now.since(self.began) > lease;
         self.fleet
             .iter()
             .filter(|(id, m)| {
@@ -1034,11 +1035,16 @@
         };
         let room = |apply: &Vec<Change>| apply.len() + 1 < ops;
         for (id, m) in &self.fleet {
-            if room(apply) && !ctx.ledger.machines.contains_key(id) && !self.gone.contains(id) {
+            let known = ctx.ledger.machines.get(id).map(|m| &m.0);
+            if room(apply)
+                && known.is_none_or(|k| m.up && !k.up && k.gone.is_none())
+                && !self.gone.contains(id)
+            {
                 let record = MachineRecord {
                     hull: m.offer.hull.clone(),
                     zone: m.offer.zone.clone(),
                     spot: m.offer.spot,
+                    up: m.up,
                     gone: None,
                 };
                 apply.push(put(id, &record));
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -63,6 +63,10 @@
     pub zone: String,
     /// Spot or ordinary.
     pub spot: bool,
+    /// Whether it has reported. Only then may tasks start on it, so a machine that still
+    /// boots never holds up the proof that a task is nowhere.
+    #[serde(default)]
+    pub up: bool,
     /// Set once it is proven gone; the key stays for a while so that late reports are known
     /// for what they are.
     #[serde(default)]
@@ -390,9 +394,9 @@
             || self.jobs.get(&task.job).is_some_and(|j| j.is_done(task.index))
     }
 
-    /// Whether a machine may be given tasks: it is durably known and not gone.
+    /// Whether a machine may be given tasks: it is durably known to be up and not gone.
     pub fn machine_known(&self, id: &MachineId) -> bool {
-        self.machines.get(id).is_some_and(|m| m.0.gone.is_none())
+        self.machines.get(id).is_some_and(|m| m.0.up && m.0.gone.is_none())
     }
 
     /// Whether a machine is known to be gone.
