--- a/src/api.rs
+++ b/src/api.rs
@@ -96,7 +96,7 @@
 
     fn others(&self) -> impl Iterator<Item = NodeId> + use<> {
         let me = self.me;
-        (0..self.nodes.len() as u8).map(NodeId).filter(move |n| *n != me)
+        (0..self.settings.params.nodes as u8).map(NodeId).filter(move |n| *n != me)
     }
 
     /// Hands a request over to controllers that may reach the store; the first useful answer
--- /dev/null
+++ b/src/core.rs
@@ -0,0 +1,333 @@
+//! What a controller knows and decides, without any connection: the service's loops bring
+//! answers in and carry transactions and messages out. Tests drive the same code.
+
+use std::rc::Rc;
+
+use tracing::info;
+
+use crate::config::{NodeInfo, Settings};
+use crate::lead::{Context, Epoch, Lead};
+use crate::ledger::{self, Brought, LeadRecord, Ledger, MemberRecord, TermRecord};
+use crate::model::{Incarnation, NodeId, Revision, Steady, StoreLease, Term, Wall};
+use crate::part::{Part, ReportAnswer, Surroundings};
+use crate::peer::{Plan, Summary, Tell};
+use crate::place::Flavors;
+use crate::term::Rights;
+use crate::wire::{self, Change, Changes, Guard, Item, Report, Txn};
+
+/// A moment by both clocks.
+#[derive(Clone, Copy, Debug)]
+pub struct Moment {
+    /// The process's steady clock.
+    pub steady: Steady,
+    /// The time of day.
+    pub wall: Wall,
+}
+
+/// A controller's state.
+pub struct Core {
+    /// Settings.
+    pub settings: Rc<Settings>,
+    /// All controllers.
+    pub nodes: Vec<NodeInfo>,
+    /// This one's place among them.
+    pub me: NodeId,
+    /// This process's life.
+    pub life: Incarnation,
+    /// The replica of the store.
+    pub ledger: Ledger,
+    /// What this node may do.
+    pub rights: Rights,
+    /// Its part.
+    pub part: Part,
+    /// Its leadership.
+    pub lead: Option<Lead>,
+    /// Machine types.
+    pub flavors: Flavors,
+    /// Whether the replica has been read once.
+    pub loaded: bool,
+    /// Whether the last request to the store was served.
+    pub store_ok: bool,
+}
+
+fn context<'a>(
+    settings: &'a Settings,
+    nodes: &'a [NodeInfo],
+    ledger: &'a Ledger,
+    rights: &Rights,
+    flavors: &'a Flavors,
+    now: Moment,
+) -> Context<'a> {
+    Context {
+        now: now.steady,
+        wall: now.wall,
+        ledger,
+        synced: rights.synced_at().unwrap_or_default(),
+        flavors,
+        settings,
+        nodes,
+    }
+}
+
+impl Core {
+    /// A controller that knows nothing yet.
+    pub fn new(settings: Rc<Settings>, life: Incarnation) -> Self {
+        let (nodes, me) = settings.all_nodes();
+        Core {
+            ledger: Ledger::new(me),
+            rights: Rights::new(settings.keep_alive_ms()),
+            part: Part::new(me, life),
+            lead: None,
+            flavors: Flavors::new(),
+            loaded: false,
+            store_ok: false,
+            settings,
+            nodes,
+            me,
+            life,
+        }
+    }
+
+    /// Does something with the leadership, if there is one, and what it needs to see.
+    pub fn with_lead<T>(
+        &mut self,
+        now: Moment,
+        act: impl FnOnce(&mut Lead, &Context<'_>) -> T,
+    ) -> Option<T> {
+        let ctx =
+            context(&self.settings, &self.nodes, &self.ledger, &self.rights, &self.flavors, now);
+        self.lead.as_mut().map(|lead| act(lead, &ctx))
+    }
+
+    /// Takes the whole store as it was read, `revision` being that of the first page: pages
+    /// read later may hold newer items, and versions tell which changes are old.
+    pub fn load(&mut self, items: &[Item], revision: Revision) {
+        self.ledger.reset();
+        let mut brought = Brought::default();
+        for item in items {
+            self.ledger.load(item, &mut brought);
+        }
+        self.ledger.revision = revision;
+        self.loaded = true;
+        self.store_ok = true;
+    }
+
+    /// Takes a watch's answer to a request sent at `sent`; `None` if the replica has to be
+    /// read anew.
+    pub fn apply(&mut self, changes: &Changes, sent: Steady) -> Option<Brought> {
+        if !self.loaded {
+            return None;
+        }
+        self.rights.confirm_sync(sent);
+        Some(self.ledger.apply(changes))
+    }
+
+    /// Takes over what a transaction of this node made durable at that revision.
+    pub fn apply_own(&mut self, txn: &Txn, stamp: Revision) -> Brought {
+        let mut brought = Brought::default();
+        for change in &txn.apply {
+            if let Change::Set { path, value, .. } = change {
+                let item = Item { path: path.clone(), v: value.clone(), stamp };
+                self.ledger.load(&item, &mut brought);
+            }
+        }
+        brought
+    }
+
+    /// Follows what changes brought.
+    pub fn follow(&mut self, now: Moment, brought: &Brought) {
+        if brought.lead {
+            self.follow_lead(now);
+        }
+        if brought.progress {
+            self.part.tidy(&self.ledger);
+        }
+        if let Some((flavors, _)) = &self.ledger.flavors
+            && self.flavors.is_empty()
+        {
+            self.set_flavors(&flavors.clone());
+        }
+    }
+
+    /// Takes machine types.
+    pub fn set_flavors(&mut self, flavors: &wire::Flavors) {
+        self.flavors = flavors.hulls.iter().map(|f| (f.sku.clone(), f.clone())).collect();
+    }
+
+    /// Follows changes of term and leader. A leadership begins only here, when the replica
+    /// holds the leader's key: by then it also holds everything that earlier leaders wrote,
+    /// as their later writes fail.
+    fn follow_lead(&mut self, now: Moment) {
+        self.part.begin_term(self.ledger.term);
+        let mine = self
+            .ledger
+            .lead
+            .as_ref()
+            .map(|(r, _)| r)
+            .filter(|r| r.node == self.me && r.life == self.life && r.term == self.ledger.term);
+        match (mine, &self.lead) {
+            (Some(r), Some(lead)) if lead.term == r.term => {}
+            (Some(r), _) => {
+                let term = r.term;
+                info!(%term, "leading");
+                let before = self.lead.take();
+                let ctx = context(
+                    &self.settings,
+                    &self.nodes,
+                    &self.ledger,
+                    &self.rights,
+                    &self.flavors,
+                    now,
+                );
+                self.lead = Some(Lead::begin(&ctx, self.me, term, before));
+            }
+            (None, Some(lead)) => {
+                info!(term = %lead.term, "no longer leading");
+                self.lead = None;
+            }
+            (None, None) => {}
+        }
+    }
+
+    /// The transaction that makes this process known; it replaces its predecessor at once.
+    pub fn member_txn(&self, lease: StoreLease) -> Txn {
+        let path = ledger::member_key(self.me);
+        let stamp = self.ledger.members.get(&self.me).map_or(Revision(0), |m| m.1);
+        let value = wire::to_value(&MemberRecord { life: self.life });
+        Txn {
+            guards: vec![Guard { path: path.clone(), stamp }],
+            apply: vec![Change::Set { path, value, lease: Some(lease) }],
+        }
+    }
+
+    /// Whether this node may stand for leader: nobody leads, or (`Some(true)`) its own
+    /// predecessor, which is certainly dead.
+    pub fn may_stand(&self, now: Steady) -> Option<bool> {
+        if !self.loaded || !self.rights.may_lead(now) {
+            return None;
+        }
+        match &self.ledger.lead {
+            None => Some(false),
+            Some((r, _)) if r.node == self.me && r.life != self.life => Some(true),
+            Some(_) => None,
+        }
+    }
+
+    /// The transaction that takes the next term, replacing the leader's key as it is known
+    /// here; `None` without a lease for it to hang on.
+    pub fn lead_txn(&self) -> Option<Txn> {
+        let lease = self.rights.lease?;
+        let term = Term(self.ledger.term.0 + 1);
+        let lead = LeadRecord { node: self.me, life: self.life, term };
+        let stamp = self.ledger.lead.as_ref().map_or(Revision(0), |l| l.1);
+        let guard = |path: &str, stamp| Guard { path: path.into(), stamp };
+        let set = |path: &str, value, lease| Change::Set { path: path.into(), value, lease };
+        Some(Txn {
+            guards: vec![
+                guard(ledger::LEAD_KEY, stamp),
+                guard(ledger::TERM_KEY, self.ledger.term_stamp),
+            ],
+            apply: vec![
+                set(ledger::LEAD_KEY, wire::to_value(&lead), Some(lease)),
+                set(ledger::TERM_KEY, wire::to_value(&TermRecord { term }), None),
+            ],
+        })
+    }
+
+    /// Answers a worker's report.
+    pub fn on_report(&mut self, now: Steady, report: &Report) -> ReportAnswer {
+        let env = Surroundings {
+            now,
+            may_answer: self.loaded && self.rights.may_answer(now),
+            ledger: &self.ledger,
+            flavors: &self.flavors,
+            nodes: &self.nodes,
+        };
+        self.part.on_report(&env, report)
+    }
+
+    /// As the leader, takes a summary and answers with the plan; also says whether an epoch
+    /// should look at it soon.
+    pub fn take_summary(&mut self, now: Steady, summary: Summary) -> (Tell, bool) {
+        let term = self.ledger.term;
+        let Some(lead) = &mut self.lead else {
+            return (Tell::NotLeading(term), false);
+        };
+        match lead.on_summary(now, summary) {
+            (Some(plan), changed) => (Tell::Plan(Box::new(plan)), changed),
+            (None, changed) => (Tell::NotLeading(term), changed),
+        }
+    }
+
+    /// Works out an epoch, if this node leads.
+    pub fn epoch(&mut self, now: Moment) -> Option<(Epoch, Term)> {
+        if !self.rights.may_lead(now.steady) {
+            return None;
+        }
+        self.with_lead(now, |lead, ctx| (lead.epoch(ctx), lead.term))
+    }
+
+    /// Makes an epoch hold that is durable by now, unless the term has passed meanwhile.
+    pub fn publish(&mut self, now: Moment, epoch: Epoch, term: Term) {
+        self.with_lead(now, |lead, ctx| {
+            if lead.term == term {
+                lead.publish(ctx, epoch);
+            }
+        });
+    }
+
+    /// A node's plan, for messages through the store, with the condition that it still leads.
+    pub fn plan_for(&self, node: NodeId, now: Steady) -> Option<(Plan, Guard)> {
+        let plan = self.lead.as_ref()?.plan_for(node, now)?;
+        Some((plan, self.ledger.lead_guard()?))
+    }
+
+    /// The transaction that makes finished tasks durable, if there are any.
+    pub fn finished_txn(&mut self) -> Option<Txn> {
+        if !self.loaded {
+            return None;
+        }
+        self.part.tidy(&self.ledger);
+        let mut txn = Txn::default();
+        for (id, tasks) in &self.part.finished {
+            if txn.apply.len() >= self.settings.params.state.txn_ops {
+                break;
+            }
+            let Some(job) = self.ledger.jobs.get(id) else { continue };
+            let Some(progress) = Ledger::with_done(job, tasks.iter().copied()) else { continue };
+            let path = ledger::progress_key(*id);
+            txn.guards.push(Guard { path: path.clone(), stamp: job.progress_stamp });
+            txn.apply.push(Change::Set { path, value: wire::to_value(&progress), lease: None });
+        }
+        (!txn.apply.is_empty()).then_some(txn)
+    }
+
+    /// The transaction that cancels a job, if it has not ended.
+    pub fn cancel_txn(&self, id: crate::model::JobId) -> Option<Txn> {
+        let job = self.ledger.jobs.get(&id)?;
+        let progress = ledger::Progress {
+            end: Some(wire::JobStage::Withdrawn),
+            done: job.progress.done.clone(),
+        };
+        let path = ledger::progress_key(id);
+        Some(Txn {
+            guards: vec![Guard { path: path.clone(), stamp: job.progress_stamp }],
+            apply: vec![Change::Set { path, value: wire::to_value(&progress), lease: None }],
+        })
+    }
+}
+
+/// The transaction that accepts jobs which are not known yet.
+pub fn accept_txn<'a>(specs: impl Iterator<Item = &'a wire::JobSpec>, at: Wall) -> Txn {
+    let mut txn = Txn::default();
+    for spec in specs {
+        let path = ledger::job_key(spec.r#ref);
+        if txn.guards.iter().any(|g| g.path == path) {
+            continue;
+        }
+        txn.guards.push(Guard { path: path.clone(), stamp: Revision(0) });
+        let accepted = ledger::Accepted { spec: spec.clone(), at };
+        txn.apply.push(Change::Set { path, value: wire::to_value(&accepted), lease: None });
+    }
+    txn
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod capacity;
 pub mod cloud;
 pub mod config;
+pub mod core;
 pub mod http;
 pub mod lead;
 pub mod ledger;
--- a/src/service.rs
+++ b/src/service.rs
@@ -14,17 +14,16 @@
 
 use crate::capacity::Offer;
 use crate::cloud::{CloudClient, CloudError};
-use crate::config::{NodeInfo, Settings};
+use crate::config::Settings;
+use crate::core::{Core, Moment, accept_txn};
 use crate::http::{self, Client, Response, ServerLimits};
-use crate::lead::{Context, Lead};
-use crate::ledger::{self, Brought, LeadRecord, Ledger, MemberRecord, TermRecord};
+use crate::ledger::{self, Brought};
 use crate::model::{Incarnation, JobId, NodeId, Revision, Steady, Term, Wall};
-use crate::part::{Part, Surroundings};
+use crate::part::ReportAnswer;
 use crate::peer::{self, Ask, Plan, Summary, Tell};
-use crate::place::Flavors;
 use crate::relay;
 use crate::state::{Committed, StateClient, StateError};
-use crate::term::{LEASE_MS, Rights};
+use crate::term::LEASE_MS;
 use crate::wire::{self, Change, Guard, Item, JobSpec, Rental, Txn};
 
 /// Longest wait between two epochs; arrivals and reports bring them sooner.
@@ -38,24 +37,6 @@
 /// Time between two messages through the store.
 const RELAY: Duration = Duration::from_millis(600);
 
-/// What a controller knows, apart from its connections.
-pub struct Core {
-    /// The replica of the store.
-    pub ledger: Ledger,
-    /// What this node may do.
-    pub rights: Rights,
-    /// Its part.
-    pub part: Part,
-    /// Its leadership.
-    pub lead: Option<Lead>,
-    /// Machine types.
-    pub flavors: Flavors,
-    /// Whether the replica has been read once.
-    pub loaded: bool,
-    /// Whether the last request to the store was served.
-    pub store_ok: bool,
-}
-
 type Waiter = oneshot::Sender<bool>;
 
 /// A submission that waits for the next group commit, and where its outcome goes.
@@ -75,13 +56,10 @@
 /// One controller.
 pub struct Service {
     /// Settings.
-    pub settings: Settings,
-    /// All controllers.
-    pub nodes: Vec<NodeInfo>,
-    /// This one's place among them.
+    pub settings: Rc<Settings>,
+    /// This one's place among all controllers.
     pub me: NodeId,
-    /// This process's life.
-    pub life: Incarnation,
+    nodes: usize,
     started: Instant,
     /// State.
     pub core: RefCell<Core>,
@@ -105,30 +83,21 @@
 impl Service {
     /// A controller with these settings.
     pub fn new(settings: Settings) -> Self {
-        let (nodes, me) = settings.all_nodes();
         // Kept below 2^53 so that every reader of numbers takes it.
         let life = Incarnation(rand::rng().random_range(1..(1 << 53)));
-        let keep_alive = settings.keep_alive_ms();
+        let settings = Rc::new(settings);
+        let core = Core::new(settings.clone(), life);
         Service {
+            me: core.me,
+            nodes: core.nodes.len(),
+            peers: core.nodes.iter().map(|n| Client::new(n.back, 4 << 20)).collect(),
             store: StateClient::new(
                 settings.outside.state,
                 &settings.params.state,
                 settings.params.nodes,
             ),
             cloud: CloudClient::new(settings.outside.cloud, settings.params.cloud.rps),
-            peers: nodes.iter().map(|n| Client::new(n.back, 4 << 20)).collect(),
-            core: RefCell::new(Core {
-                ledger: Ledger::new(me),
-                rights: Rights::new(keep_alive),
-                part: Part::new(me, life),
-                lead: None,
-                flavors: Flavors::new(),
-                loaded: false,
-                store_ok: false,
-            }),
-            nodes,
-            me,
-            life,
+            core: RefCell::new(core),
             settings,
             started: Instant::now(),
             wake_lead: Notify::new(),
@@ -155,11 +124,17 @@
         Wall(since.as_millis() as u64)
     }
 
+    /// Now, by both clocks.
+    pub fn moment(&self) -> Moment {
+        Moment { steady: self.now(), wall: self.wall() }
+    }
+
     /// Serves until the process is killed.
     pub async fn run(self: Rc<Self>) -> std::io::Result<()> {
         let api = TcpListener::bind(self.settings.api_addr).await?;
         let back = TcpListener::bind(self.settings.back).await?;
-        info!(node = %self.settings.node_name, life = %self.life, "serving");
+        let life = self.core.borrow().life;
+        info!(node = %self.settings.node_name, %life, "serving");
         let sockets = self.settings.params.limits.sockets;
         let s = self.clone();
         spawn_local(http::serve(
@@ -227,19 +202,7 @@
                 break;
             }
         }
-        {
-            let mut core = self.core.borrow_mut();
-            core.ledger.reset();
-            let mut brought = Brought::default();
-            for item in &items {
-                core.ledger.load(item, &mut brought);
-            }
-            // Pages read later may hold newer items; changes after the first page are taken
-            // again, and versions tell which of them are old.
-            core.ledger.revision = first.unwrap_or_default();
-            core.loaded = true;
-            core.store_ok = true;
-        }
+        self.core.borrow_mut().load(&items, first.unwrap_or_default());
         debug!(items = items.len(), sent = sent.0, "loaded");
         self.pull(Duration::ZERO).await?;
         self.note(&Brought { jobs: true, progress: true, lead: true, relay: true });
@@ -254,73 +217,25 @@
         let brought = {
             let mut core = self.core.borrow_mut();
             core.store_ok = got.is_ok();
-            let changes = got?;
-            if !core.loaded {
-                return Err(StateError::TooOld);
-            }
-            core.rights.confirm_sync(sent);
-            core.ledger.apply(&changes)
+            core.apply(&got?, sent).ok_or(StateError::TooOld)?
         };
         self.note(&brought);
         Ok(())
     }
 
-    /// Wakes the loops that a change concerns.
+    /// Follows a change and wakes the loops that it concerns.
     fn note(&self, brought: &Brought) {
+        self.core.borrow_mut().follow(self.moment(), brought);
         if brought.lead {
-            self.follow_lead();
+            self.wake_election.notify_one();
+            self.wake_part.notify_one();
         }
-        if brought.jobs || brought.progress {
+        if brought.lead || brought.jobs || brought.progress {
             self.wake_lead.notify_one();
         }
         if brought.relay {
             self.take_relayed();
         }
-        let mut core = self.core.borrow_mut();
-        let core = &mut *core;
-        if brought.progress {
-            core.part.tidy(&core.ledger);
-        }
-        if let Some((flavors, _)) = &core.ledger.flavors
-            && core.flavors.is_empty()
-        {
-            core.flavors = flavors.hulls.iter().map(|f| (f.sku.clone(), f.clone())).collect();
-        }
-    }
-
-    /// Follows changes of term and leader. A leadership begins only here, when the replica
-    /// holds the leader's key: by then it also holds everything that earlier leaders wrote,
-    /// as their later writes fail.
-    fn follow_lead(&self) {
-        let now = self.now();
-        let wall = self.wall();
-        let mut core = self.core.borrow_mut();
-        let core = &mut *core;
-        core.part.begin_term(core.ledger.term);
-        let mine = core
-            .ledger
-            .lead
-            .as_ref()
-            .map(|(r, _)| r)
-            .filter(|r| r.node == self.me && r.life == self.life && r.term == core.ledger.term);
-        match (mine, &core.lead) {
-            (Some(r), Some(lead)) if lead.term == r.term => {}
-            (Some(r), _) => {
-                let term = r.term;
-                info!(%term, "leading");
-                let before = core.lead.take();
-                let ctx = context(self, &core.ledger, &core.rights, &core.flavors, now, wall);
-                core.lead = Some(Lead::begin(&ctx, self.me, term, before));
-            }
-            (None, Some(lead)) => {
-                info!(term = %lead.term, "no longer leading");
-                core.lead = None;
-            }
-            (None, None) => {}
-        }
-        self.wake_election.notify_one();
-        self.wake_part.notify_one();
-        self.wake_lead.notify_one();
     }
 
     /// Waits until the replica is known to be as current as this moment; false if the store
@@ -389,18 +304,8 @@
             };
         }
         let lease = self.store.grant(LEASE_MS).await?;
-        // The predecessor's key, if it is still there, is replaced at once.
-        let key = ledger::member_key(self.me);
-        let stamp = self.core.borrow().ledger.members.get(&self.me).map_or(Revision(0), |m| m.1);
+        let txn = self.core.borrow().member_txn(lease);
         let sent = self.now();
-        let txn = Txn {
-            guards: vec![Guard { path: key.clone(), stamp }],
-            apply: vec![Change::Set {
-                path: key,
-                value: wire::to_value(&MemberRecord { life: self.life }),
-                lease: Some(lease),
-            }],
-        };
         match self.store.commit(&txn).await? {
             Committed::Yes(_) => {
                 let mut core = self.core.borrow_mut();
@@ -420,13 +325,13 @@
     async fn elect(self: Rc<Self>) {
         loop {
             let _ = timeout(Duration::from_millis(500), self.wake_election.notified()).await;
-            let Some(own) = self.may_stand() else {
+            let Some(own) = self.core.borrow().may_stand(self.now()) else {
                 continue;
             };
             if !own {
                 let wait = rand::rng().random_range(0..120);
                 sleep(Duration::from_millis(wait)).await;
-                if self.may_stand().is_none() {
+                if self.core.borrow().may_stand(self.now()).is_none() {
                     continue;
                 }
             }
@@ -437,53 +342,11 @@
         }
     }
 
-    /// Whether this node may stand for leader: nobody leads, or (`Some(true)`) its own
-    /// predecessor, which is certainly dead.
-    fn may_stand(&self) -> Option<bool> {
-        let core = self.core.borrow();
-        if !core.loaded || !core.rights.may_lead(self.now()) {
-            return None;
-        }
-        match &core.ledger.lead {
-            None => Some(false),
-            Some((r, _)) if r.node == self.me && r.life != self.life => Some(true),
-            Some(_) => None,
-        }
-    }
-
-    /// Takes the next term, replacing the leader's key as it is known here.
+    /// Takes the next term.
     async fn take_lead(&self) -> Result<(), StateError> {
-        let (txn, term) = {
-            let core = self.core.borrow();
-            let Some(lease) = core.rights.lease else {
-                return Err(StateError::NoLease);
-            };
-            let term = Term(core.ledger.term.0 + 1);
-            let lead = LeadRecord { node: self.me, life: self.life, term };
-            let stamp = core.ledger.lead.as_ref().map_or(Revision(0), |l| l.1);
-            let guard = |path: &str, stamp| Guard { path: path.into(), stamp };
-            let txn = Txn {
-                guards: vec![
-                    guard(ledger::LEAD_KEY, stamp),
-                    guard(ledger::TERM_KEY, core.ledger.term_stamp),
-                ],
-                apply: vec![
-                    Change::Set {
-                        path: ledger::LEAD_KEY.into(),
-                        value: wire::to_value(&lead),
-                        lease: Some(lease),
-                    },
-                    Change::Set {
-                        path: ledger::TERM_KEY.into(),
-                        value: wire::to_value(&TermRecord { term }),
-                        lease: None,
-                    },
-                ],
-            };
-            (txn, term)
-        };
+        let txn = self.core.borrow().lead_txn().ok_or(StateError::NoLease)?;
         let outcome = self.store.commit(&txn).await?;
-        debug!(%term, ?outcome, "election");
+        debug!(?outcome, "election");
         self.pull(Duration::ZERO).await
     }
 
@@ -538,20 +401,11 @@
 
     /// As the leader, takes a summary and answers with the plan.
     fn take_summary(&self, summary: Summary) -> Tell {
-        let now = self.now();
-        let mut core = self.core.borrow_mut();
-        let term = core.ledger.term;
-        let Some(lead) = &mut core.lead else {
-            return Tell::NotLeading(term);
-        };
-        let (plan, changed) = lead.on_summary(now, summary);
+        let (tell, changed) = self.core.borrow_mut().take_summary(self.now(), summary);
         if changed {
             self.wake_lead.notify_one();
         }
-        match plan {
-            Some(plan) => Tell::Plan(Box::new(plan)),
-            None => Tell::NotLeading(term),
-        }
+        tell
     }
 
     /// Asks another controller.
@@ -571,7 +425,7 @@
         };
         let tell = match ask {
             Ask::Summary(s) => {
-                if usize::from(s.node.0) >= self.nodes.len() || s.node == self.me {
+                if usize::from(s.node.0) >= self.nodes || s.node == self.me {
                     return Response::empty(400);
                 }
                 self.relaying.borrow_mut().remove(&s.node);
@@ -594,22 +448,13 @@
         let Ok(report) = wire::decode::<wire::Report>(body) else {
             return Response::empty(400);
         };
-        let now = self.now();
         let mut core = self.core.borrow_mut();
-        let core = &mut *core;
         if report.baton > core.part.term() {
             // Somebody leads that this node does not know of yet.
             self.confirms.borrow_mut().push(oneshot::channel().0);
             self.wake_confirm.notify_one();
         }
-        let env = Surroundings {
-            now,
-            may_answer: core.loaded && core.rights.may_answer(now),
-            ledger: &core.ledger,
-            flavors: &core.flavors,
-            nodes: &self.nodes,
-        };
-        let answer = core.part.on_report(&env, &report);
+        let answer = core.on_report(self.now(), &report);
         if core.part.news {
             self.wake_part.notify_one();
         }
@@ -617,11 +462,11 @@
             self.wake_finish.notify_one();
         }
         match answer {
-            crate::part::ReportAnswer::Take(reply) => Response::new(200, wire::encode(&reply)),
-            crate::part::ReportAnswer::Go(name) => {
+            ReportAnswer::Take(reply) => Response::new(200, wire::encode(&reply)),
+            ReportAnswer::Go(name) => {
                 Response::new(421, wire::encode(&wire::Redirect { steward: Some(name) }))
             }
-            crate::part::ReportAnswer::Refuse => Response::later(1),
+            ReportAnswer::Refuse => Response::later(1),
         }
     }
 
@@ -693,11 +538,7 @@
             relaying.keys().copied().collect()
         };
         for node in to {
-            let message = {
-                let core = self.core.borrow();
-                let plan = core.lead.as_ref().and_then(|l| l.plan_for(node, now));
-                plan.zip(core.ledger.lead_guard())
-            };
+            let message = self.core.borrow().plan_for(node, now);
             if let Some((plan, guard)) = message {
                 self.relay(node, guard, &peer::encode(&plan)).await;
             }
@@ -726,26 +567,14 @@
     }
 
     fn describe(&self) {
-        let core = self.core.borrow();
-        if let Some(lead) = &core.lead {
-            let (now, wall) = (self.now(), self.wall());
-            let ctx = context(self, &core.ledger, &core.rights, &core.flavors, now, wall);
-            info!(term = %lead.term, state = %lead.describe(&ctx), "epoch");
-        }
+        self.core.borrow_mut().with_lead(self.moment(), |lead, ctx| {
+            info!(term = %lead.term, state = %lead.describe(ctx), "epoch");
+        });
     }
 
     async fn lead_once(&self) {
-        let (now, wall) = (self.now(), self.wall());
-        let (epoch, term) = {
-            let mut core = self.core.borrow_mut();
-            let core = &mut *core;
-            if !core.rights.may_lead(now) {
-                return;
-            }
-            let Some(lead) = &mut core.lead else { return };
-            let ctx = context(self, &core.ledger, &core.rights, &core.flavors, now, wall);
-            (lead.epoch(&ctx), lead.term)
-        };
+        let found = self.core.borrow_mut().epoch(self.moment());
+        let Some((epoch, term)) = found else { return };
         let renew = {
             let core = self.core.borrow();
             core.lead.as_ref().and_then(|l| l.renew_term)
@@ -772,16 +601,8 @@
                 }
             }
         }
-        let (now, wall) = (self.now(), self.wall());
-        let mut core = self.core.borrow_mut();
-        let core = &mut *core;
-        let Some(lead) = &mut core.lead else { return };
-        if lead.term != term {
-            return;
-        }
-        let ctx = context(self, &core.ledger, &core.rights, &core.flavors, now, wall);
         let granted = !epoch.is_empty();
-        lead.publish(&ctx, epoch);
+        self.core.borrow_mut().publish(self.moment(), epoch, term);
         if granted {
             self.wake_part.notify_one();
         }
@@ -789,15 +610,7 @@
 
     /// Takes over what a transaction of this node just made durable.
     fn apply_own(&self, txn: &Txn, stamp: Revision) {
-        let mut brought = Brought::default();
-        let mut core = self.core.borrow_mut();
-        for change in &txn.apply {
-            if let Change::Set { path, value, .. } = change {
-                let item = Item { path: path.clone(), v: value.clone(), stamp };
-                core.ledger.load(&item, &mut brought);
-            }
-        }
-        drop(core);
+        let brought = self.core.borrow_mut().apply_own(txn, stamp);
         self.note(&brought);
     }
 
@@ -852,7 +665,7 @@
         // The types are kept in the store for controllers that start while the cloud is down.
         let guard = {
             let mut core = self.core.borrow_mut();
-            core.flavors = got.hulls.iter().map(|f| (f.sku.clone(), f.clone())).collect();
+            core.set_flavors(&got);
             core.ledger.lead_guard().filter(|_| leading && core.ledger.flavors.is_none())
         };
         if let Some(guard) = guard {
@@ -874,7 +687,7 @@
         let (offer, number) = core.lead.as_ref()?.to_rent()?;
         *counter += 1;
         let rental = Rental {
-            hire: format!("r-{term}-{}-{counter}", self.life),
+            hire: format!("r-{term}-{}-{counter}", core.life),
             hull: offer.hull.clone(),
             yard: offer.zone.clone(),
             loaners: offer.spot,
@@ -920,13 +733,11 @@
     }
 
     async fn return_machines(&self) {
-        let (now, wall) = (self.now(), self.wall());
-        let ids = {
-            let core = self.core.borrow();
-            let Some(lead) = &core.lead else { return };
-            let ctx = context(self, &core.ledger, &core.rights, &core.flavors, now, wall);
-            lead.to_return(&ctx)
-        };
+        let ids = self
+            .core
+            .borrow_mut()
+            .with_lead(self.moment(), |lead, ctx| lead.to_return(ctx))
+            .unwrap_or_default();
         if ids.is_empty() {
             return;
         }
@@ -946,14 +757,11 @@
                 return;
             };
             after = page.hosts.last().map(|h| h.r#ref.clone());
-            let (now, wall) = (self.now(), self.wall());
-            let mut core = self.core.borrow_mut();
-            let core = &mut *core;
-            let Some(lead) = &mut core.lead else { return };
-            let ctx = context(self, &core.ledger, &core.rights, &core.flavors, now, wall);
-            for host in &page.hosts {
-                lead.listed(&ctx, host);
-            }
+            self.core.borrow_mut().with_lead(self.moment(), |lead, ctx| {
+                for host in &page.hosts {
+                    lead.listed(ctx, host);
+                }
+            });
             if !page.truncated || after.is_none() {
                 return;
             }
@@ -966,7 +774,7 @@
     async fn write_finished(self: Rc<Self>) {
         loop {
             let _ = timeout(Duration::from_millis(500), self.wake_finish.notified()).await;
-            while let Some(txn) = self.finished_txn() {
+            while let Some(txn) = self.next_finished() {
                 match self.store.commit(&txn).await {
                     Ok(Committed::Yes(stamp)) => self.apply_own(&txn, stamp),
                     Ok(Committed::No(_)) | Err(StateError::Unknown) => {
@@ -980,32 +788,8 @@
         }
     }
 
-    fn finished_txn(&self) -> Option<Txn> {
-        let mut core = self.core.borrow_mut();
-        let core = &mut *core;
-        if !core.loaded {
-            return None;
-        }
-        core.part.tidy(&core.ledger);
-        let mut txn = Txn::default();
-        for (id, tasks) in &core.part.finished {
-            if txn.apply.len() >= self.settings.params.state.txn_ops {
-                break;
-            }
-            let Some(job) = core.ledger.jobs.get(id) else {
-                continue;
-            };
-            let Some(progress) = Ledger::with_done(job, tasks.iter().copied()) else {
-                continue;
-            };
-            txn.guards.push(Guard { path: ledger::progress_key(*id), stamp: job.progress_stamp });
-            txn.apply.push(Change::Set {
-                path: ledger::progress_key(*id),
-                value: wire::to_value(&progress),
-                lease: None,
-            });
-        }
-        (!txn.apply.is_empty()).then_some(txn)
+    fn next_finished(&self) -> Option<Txn> {
+        self.core.borrow_mut().finished_txn()
     }
 
     /// Queues a submission for the next group commit and waits for what becomes of it.
@@ -1041,7 +825,7 @@
             if batch.is_empty() {
                 return;
             }
-            let txn = self.accept_txn(&batch);
+            let txn = accept_txn(batch.iter().map(|(spec, _)| spec), self.wall());
             match self.store.commit_hedged(&txn, Duration::from_millis(60)).await {
                 Ok(Committed::Yes(stamp)) => {
                     self.apply_own(&txn, stamp);
@@ -1072,38 +856,11 @@
         }
     }
 
-    fn accept_txn(&self, batch: &[Submission]) -> Txn {
-        let at = self.wall();
-        let mut txn = Txn::default();
-        for (spec, _) in batch {
-            let path = ledger::job_key(spec.r#ref);
-            if txn.guards.iter().any(|g| g.path == path) {
-                continue;
-            }
-            txn.guards.push(Guard { path: path.clone(), stamp: Revision(0) });
-            let accepted = ledger::Accepted { spec: spec.clone(), at };
-            txn.apply.push(Change::Set { path, value: wire::to_value(&accepted), lease: None });
-        }
-        txn
-    }
-
     /// Cancels a job durably: `Ok(true)` if it is cancelled now, `Ok(false)` if its progress
     /// changed meanwhile and the caller has to look again.
     pub(crate) async fn write_cancelled(&self, id: JobId) -> Result<bool, StateError> {
-        let txn = {
-            let core = self.core.borrow();
-            let Some(job) = core.ledger.jobs.get(&id) else {
-                return Ok(false);
-            };
-            let progress = ledger::Progress {
-                end: Some(wire::JobStage::Withdrawn),
-                done: job.progress.done.clone(),
-            };
-            let path = ledger::progress_key(id);
-            Txn {
-                guards: vec![Guard { path: path.clone(), stamp: job.progress_stamp }],
-                apply: vec![Change::Set { path, value: wire::to_value(&progress), lease: None }],
-            }
+        let Some(txn) = self.core.borrow().cancel_txn(id) else {
+            return Ok(false);
         };
         match self.store.commit_hedged(&txn, Duration::from_millis(150)).await? {
             Committed::Yes(stamp) => {
@@ -1114,22 +871,3 @@
         }
     }
 }
-
-fn context<'a>(
-    s: &'a Service,
-    ledger: &'a Ledger,
-    rights: &Rights,
-    flavors: &'a Flavors,
-    now: Steady,
-    wall: Wall,
-) -> Context<'a> {
-    Context {
-        now,
-        wall,
-        ledger,
-        synced: rights.synced_at().unwrap_or_default(),
-        flavors,
-        settings: &s.settings,
-        nodes: &s.nodes,
-    }
-}
