--- /dev/null
+++ b/tests/sim/check.rs
@@ -0,0 +1,91 @@
+//! The rules, checked against what really happens on the machines and what users are told.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Job number and task number.
+pub type Task = (u64, u32);
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    Starts { task: Task, machine: usize, team: usize, cores: u64 },
+    Leaves { task: Task, machine: usize },
+    Cancelled { job: u64 },
+    CalledDone { job: u64, done: u32, of: u32 },
+    Tick,
+}
+
+pub struct Checker {
+    cancel_ms: u64,
+    team_limit: u64,
+    on: BTreeMap<Task, BTreeMap<usize, (usize, u64)>>,
+    cancelled: BTreeMap<u64, u64>,
+    done: BTreeSet<u64>,
+    pub broken: Vec<String>,
+}
+
+impl Checker {
+    pub fn new(cancel_ms: u64, team_limit: u64) -> Self {
+        Checker {
+            cancel_ms,
+            team_limit,
+            on: BTreeMap::new(),
+            cancelled: BTreeMap::new(),
+            done: BTreeSet::new(),
+            broken: Vec::new(),
+        }
+    }
+
+    pub fn see(&mut self, at: u64, event: Event) {
+        match event {
+            Event::Starts { task, machine, team, cores } => {
+                let on = self.on.entry(task).or_default();
+                if on.keys().any(|m| *m != machine) {
+                    self.broken.push(format!("{at}: {task:?} on {on:?} starts on {machine}"));
+                }
+                on.insert(machine, (team, cores));
+                let all = self.on.values().flat_map(|m| m.values());
+                let used: u64 = all.filter(|u| u.0 == team).map(|u| u.1).sum();
+                if used > self.team_limit {
+                    self.broken.push(format!("{at}: team {team} uses {used}"));
+                }
+                self.late(at, task);
+            }
+            Event::Leaves { task, machine } => {
+                if let Some(on) = self.on.get_mut(&task) {
+                    on.remove(&machine);
+                    if on.is_empty() {
+                        self.on.remove(&task);
+                    }
+                }
+            }
+            Event::Cancelled { job } => {
+                if self.done.contains(&job) {
+                    self.broken.push(format!("{at}: {job} was done and is cancelled"));
+                }
+                self.cancelled.entry(job).or_insert(at);
+            }
+            Event::CalledDone { job, done, of } => {
+                if done < of {
+                    self.broken.push(format!("{at}: {job} is called done with {done} of {of}"));
+                }
+                if self.cancelled.contains_key(&job) {
+                    self.broken.push(format!("{at}: {job} was cancelled and is done"));
+                }
+                self.done.insert(job);
+            }
+            Event::Tick => {
+                let tasks: Vec<Task> = self.on.keys().copied().collect();
+                for task in tasks {
+                    self.late(at, task);
+                }
+            }
+        }
+    }
+
+    fn late(&mut self, at: u64, task: Task) {
+        if self.cancelled.get(&task.0).is_some_and(|told| at > told + self.cancel_ms) {
+            self.broken.push(format!("{at}: {task:?} outlives its cancellation"));
+        }
+    }
+}
--- /dev/null
+++ b/tests/sim/main.rs
@@ -0,0 +1,112 @@
+//! Three controllers driven through failures on stand-ins for the store, the cloud and the
+//! workers, in simulated time with seeded randomness. The rules are checked at every step.
+
+mod check;
+mod store;
+mod worker;
+mod world;
+
+use check::{Checker, Event};
+use world::{Fault, World};
+
+use Fault::{
+    CancelAt, CrashAll, CrashLeader, CutNode, CutWorker, CutZones, Hang, LoseReplies, RefuseStore,
+    SlowStore, StoreOutage, WorkerDies,
+};
+
+/// Plays a day of 200 s and expects that no rule breaks and that all that was asked for ends.
+fn play(name: &str, seed: u64, faults: &[(u64, Fault)]) {
+    let mut world = World::new(seed);
+    world.run(faults, 200_000);
+    assert!(world.checker.broken.is_empty(), "{name} {seed}: {:?}", world.checker.broken);
+    let open = world.unfinished();
+    assert!(open.is_empty(), "{name} {seed}: not finished: {open:?}");
+}
+
+#[test]
+fn rules_hold_and_work_ends_through_each_failure() {
+    let cases: Vec<(&str, Vec<(u64, Fault)>)> = vec![
+        ("quiet", vec![]),
+        ("leader crashes", vec![(21_300, CrashLeader)]),
+        ("all crash", vec![(21_300, CrashAll)]),
+        ("crash in mid-election", vec![(21_300, CrashLeader), (24_700, CrashAll)]),
+        ("store outage longer than a lease", vec![(20_000, StoreOutage(15_000))]),
+        ("all crash in an outage", vec![(20_000, StoreOutage(12_000)), (24_000, CrashAll)]),
+        ("the store refuses the leader", vec![(20_000, RefuseStore(20_000))]),
+        ("slow and late transactions", vec![(5_000, SlowStore(60_000)), (30_000, CrashLeader)]),
+        ("a start response is lost", vec![(20_000, LoseReplies(8_000))]),
+        ("a machine dies", vec![(20_000, WorkerDies(0)), (22_000, CrashLeader)]),
+        ("a machine is cut off and comes back", vec![(20_000, CutWorker(1, 30_000, true))]),
+        (
+            "cancelled while a machine is cut off",
+            vec![(20_000, CutWorker(1, 45_000, false)), (21_000, CancelAt(1))],
+        ),
+        ("a machine hangs within its lease", vec![(20_000, Hang(2, 8_000)), (21_000, CrashLeader)]),
+        ("a machine hangs beyond it", vec![(20_000, Hang(2, 40_000))]),
+        ("zones are cut", vec![(20_000, CutZones(30_000, false))]),
+        (
+            "held packets arrive after a takeover",
+            vec![(20_000, CutZones(25_000, true)), (28_000, CrashLeader)],
+        ),
+        ("the leader loses its network", vec![(20_000, CutNode(40_000, true))]),
+        (
+            "a cut node, then all crash",
+            vec![(20_000, CutNode(40_000, true)), (25_000, CrashAll), (90_000, CrashLeader)],
+        ),
+        (
+            "rolling restarts with a machine lost",
+            vec![
+                (20_000, CrashLeader),
+                (30_000, CrashLeader),
+                (31_000, WorkerDies(1)),
+                (40_000, CrashLeader),
+            ],
+        ),
+    ];
+    for (name, faults) in cases {
+        for seed in 1..=3 {
+            play(name, seed, &faults);
+        }
+    }
+}
+
+#[test]
+fn rules_hold_through_random_failures() {
+    for seed in 100..112 {
+        let faults = world::random_faults(seed);
+        play(&format!("random {faults:?}"), seed, &faults);
+    }
+}
+
+#[test]
+fn the_checker_finds_broken_histories() {
+    let start = |task, machine| Event::Starts { task, machine, team: 0, cores: 4 };
+    let ends = |task, machine| Event::Leaves { task, machine };
+    type Case = (&'static str, Vec<(u64, Event)>, usize);
+    let cases: Vec<Case> = vec![
+        ("clean", vec![(0, start((1, 0), 0)), (5, ends((1, 0), 0)), (6, start((1, 0), 1))], 0),
+        ("twice", vec![(0, start((1, 0), 0)), (5, start((1, 0), 1))], 1),
+        ("over the limit", (0..5).map(|i| (i, start((1, i as u32), i as usize))).collect(), 1),
+        (
+            "runs on after its cancellation",
+            vec![(0, start((1, 0), 0)), (5, Event::Cancelled { job: 1 }), (31_000, Event::Tick)],
+            1,
+        ),
+        ("called done too soon", vec![(0, Event::CalledDone { job: 1, done: 1, of: 2 })], 1),
+        (
+            "went back",
+            vec![
+                (0, Event::CalledDone { job: 1, done: 2, of: 2 }),
+                (5, Event::Cancelled { job: 1 }),
+            ],
+            1,
+        ),
+    ];
+    for (what, history, want) in cases {
+        let mut checker = Checker::new(30_000, 16);
+        for (at, event) in history {
+            checker.see(at, event);
+        }
+        assert_eq!(checker.broken.len(), want, "{what}: {:?}", checker.broken);
+    }
+}
--- /dev/null
+++ b/tests/sim/worker.rs
@@ -0,0 +1,239 @@
+//! A stand-in for a worker, as the protocol describes it.
+
+use std::collections::BTreeMap;
+
+use willowshore::model::{Attempt, MachineId, Session, TaskId, Term};
+use willowshore::wire::{Cause, Order, Piece, PieceStage, Report, ReportReply};
+
+pub const FETCH_MS: u64 = 700;
+const TIMEOUT_MS: u64 = 4_000;
+
+struct Task {
+    stage: PieceStage,
+    cause: Option<Cause>,
+    until: u64,
+}
+
+/// What changed on the machine, for the checker.
+pub enum Change {
+    Runs(TaskId),
+    Leaves(TaskId),
+}
+
+pub struct Worker {
+    pub id: usize,
+    pub zone: &'static str,
+    pub gone: bool,
+    pub hung_until: u64,
+    pub target: usize,
+    session: u64,
+    tally: u64,
+    pub baton: u64,
+    tasks: BTreeMap<(TaskId, Attempt), Task>,
+    answered: u64,
+    next: u64,
+    in_flight: Option<(u64, u64)>, // tally, sent
+    rhythm: u64,
+    lease: u64,
+}
+
+impl Worker {
+    pub fn new(id: usize, zone: &'static str, now: u64, rhythm: u64, lease: u64) -> Self {
+        Worker {
+            id,
+            zone,
+            gone: false,
+            hung_until: 0,
+            target: id % 3,
+            session: 1,
+            tally: 0,
+            baton: 0,
+            tasks: BTreeMap::new(),
+            answered: now,
+            next: now + 100 * id as u64,
+            in_flight: None,
+            rhythm,
+            lease,
+        }
+    }
+
+    pub fn name(&self) -> MachineId {
+        MachineId::new(&format!("n-{:06}", self.id))
+    }
+
+    pub fn active(&self, now: u64) -> bool {
+        !self.gone && now >= self.hung_until
+    }
+
+    /// Ends everything, as the cloud does with a machine that is returned or dies.
+    pub fn vanish(&mut self) -> Vec<Change> {
+        self.gone = true;
+        self.leave(|_| true)
+    }
+
+    fn leave(&mut self, which: impl Fn(&Task) -> bool) -> Vec<Change> {
+        let mut out = Vec::new();
+        self.tasks.retain(|(task, _), t| {
+            if !which(t) {
+                return true;
+            }
+            if t.stage == PieceStage::Running {
+                out.push(Change::Leaves(*task));
+            }
+            false
+        });
+        out
+    }
+
+    /// Runs tasks and keeps the lease.
+    pub fn tick(&mut self, now: u64, run_ms: impl Fn(TaskId) -> u64) -> Vec<Change> {
+        let mut out = Vec::new();
+        if !self.active(now) {
+            return out;
+        }
+        if now - self.answered > self.lease {
+            out.extend(self.leave(|_| true));
+            self.session += 1;
+            self.answered = now;
+            self.in_flight = None;
+        }
+        let mut changed = false;
+        for ((task, _), t) in &mut self.tasks {
+            if t.until > now {
+                continue;
+            }
+            match t.stage {
+                PieceStage::Fetching => {
+                    t.stage = PieceStage::Running;
+                    t.until = now + run_ms(*task);
+                    out.push(Change::Runs(*task));
+                    changed = true;
+                }
+                PieceStage::Running => {
+                    t.stage = PieceStage::Ended;
+                    t.cause = Some(Cause::Done);
+                    t.until = u64::MAX;
+                    out.push(Change::Leaves(*task));
+                    changed = true;
+                }
+                _ => {}
+            }
+        }
+        if changed {
+            self.next = self.next.min(now + 500);
+        }
+        if self.in_flight.is_some_and(|(_, sent)| now - sent >= TIMEOUT_MS) {
+            self.try_next(now);
+        }
+        out
+    }
+
+    fn try_next(&mut self, now: u64) {
+        self.in_flight = None;
+        self.target = (self.target + 1) % 3;
+        self.next = now + 1_000;
+    }
+
+    /// The next report, if one is due: the node it goes to and the report.
+    pub fn report(&mut self, now: u64) -> Option<(usize, Report)> {
+        if !self.active(now) || self.in_flight.is_some() || now < self.next {
+            return None;
+        }
+        self.tally += 1;
+        self.in_flight = Some((self.tally, now));
+        self.next = now + self.rhythm;
+        let pieces = self.tasks.iter().map(|((task, attempt), t)| Piece {
+            piece: *task,
+            r#try: *attempt,
+            stage: t.stage,
+            cause: t.cause,
+        });
+        Some((
+            self.target,
+            Report {
+                host: self.name(),
+                endpoint: format!("10.1.0.{}:9000", self.id + 1),
+                hull: "small".into(),
+                yard: self.zone.into(),
+                loaners: false,
+                tenure: Session(self.session),
+                tally: self.tally,
+                baton: Term(self.baton),
+                warning_s: None,
+                pieces: pieces.collect(),
+            },
+        ))
+    }
+
+    /// The answer to the report with that tally; others are too late and go unheard.
+    pub fn answer(&mut self, now: u64, tally: u64, answer: Answer) -> Vec<Change> {
+        let Some((expected, sent)) = self.in_flight else { return Vec::new() };
+        if !self.active(now) || expected != tally {
+            return Vec::new();
+        }
+        self.in_flight = None;
+        match answer {
+            Answer::Take(reply) => {
+                if reply.baton.0 < self.baton {
+                    return Vec::new();
+                }
+                if reply.baton.0 > self.baton {
+                    self.baton = reply.baton.0;
+                    self.next = self.next.min(now + 500);
+                }
+                self.answered = sent;
+                reply.orders.into_iter().flat_map(|o| self.order(now, o)).collect()
+            }
+            Answer::Go(node) => {
+                self.target = node;
+                self.next = now + 300;
+                Vec::new()
+            }
+            Answer::Refuse => {
+                self.try_next(now);
+                Vec::new()
+            }
+        }
+    }
+
+    fn order(&mut self, now: u64, order: Order) -> Vec<Change> {
+        self.next = self.next.min(now + 500);
+        match order {
+            Order::Start { piece, r#try } => {
+                let room = self.tasks.values().filter(|t| t.stage != PieceStage::Ended).count() < 2;
+                let (stage, cause) = if room {
+                    (PieceStage::Fetching, None)
+                } else {
+                    (PieceStage::Ended, Some(Cause::NoRoom))
+                };
+                let task = Task { stage, cause, until: now + FETCH_MS };
+                self.tasks.entry((piece, r#try)).or_insert(task);
+                Vec::new()
+            }
+            Order::Kill { piece, r#try, .. } => match self.tasks.get_mut(&(piece, r#try)) {
+                Some(t) if t.stage != PieceStage::Ended => {
+                    let ran = t.stage == PieceStage::Running;
+                    t.stage = PieceStage::Ended;
+                    t.cause = Some(Cause::Stopped);
+                    if ran { vec![Change::Leaves(piece)] } else { Vec::new() }
+                }
+                _ => Vec::new(),
+            },
+            Order::Clear { piece, r#try } => {
+                let ended = |t: &Task| t.stage == PieceStage::Ended;
+                if self.tasks.get(&(piece, r#try)).is_some_and(ended) {
+                    self.tasks.remove(&(piece, r#try));
+                }
+                Vec::new()
+            }
+        }
+    }
+}
+
+/// How a report was answered.
+#[derive(Clone, Debug)]
+pub enum Answer {
+    Take(ReportReply),
+    Go(usize),
+    Refuse,
+}
--- /dev/null
+++ b/tests/sim/world.rs
@@ -0,0 +1,693 @@
+//! The world: controllers, store, workers, users and the network between them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use willowshore::config::Settings;
+use willowshore::core::{Core, Moment, accept_txn};
+use willowshore::model::{Incarnation, JobId, NodeId, Steady, TaskId, Wall};
+use willowshore::part::ReportAnswer;
+use willowshore::peer::{Plan, Summary, Tell};
+use willowshore::state::Committed;
+use willowshore::term::LEASE_MS;
+use willowshore::wire::{Flavor, Flavors, JobSpec, JobStage, Report, Shape, Txn, Urgency};
+
+use crate::check::{Checker, Event};
+use crate::store::Store;
+use crate::worker::{Answer, Change, Worker};
+
+const STEP: u64 = 20;
+const BACK_MS: u64 = 3_000;
+const CANCEL_MS: u64 = 30_000;
+const TEAM_LIMIT: u64 = 24;
+const ZONES: [&str; 2] = ["a", "b"];
+
+const SETTINGS: &str = r#"
+node_name = "host-0"
+site = "a"
+api_addr = "10.0.0.1:8080"
+back = "10.0.0.1:8081"
+[[known]]
+node_name = "host-1"
+site = "b"
+address = "10.0.0.2:8081"
+[[known]]
+node_name = "host-2"
+site = "a"
+address = "10.0.0.3:8081"
+[outside]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[params]
+nodes = 3
+zones = ["a", "b"]
+[[params.teams]]
+name = "red"
+cpus_max = 24.0
+[params.workers]
+report_s = 1.0
+lease_s = 10.0
+cancel_s = 30.0
+[params.state]
+rps = 200.0
+write_rps = 80.0
+value_kb = 8.0
+txn_ops = 12
+[params.cloud]
+rps = 8.0
+list_lag_s = 6.0
+"#;
+
+/// A failure, for so many milliseconds where it lasts.
+#[derive(Clone, Copy, Debug)]
+pub enum Fault {
+    CrashLeader,
+    CrashAll,
+    StoreOutage(u64),
+    /// The store refuses the leader alone.
+    RefuseStore(u64),
+    /// Transactions are carried out late, or without an answer.
+    SlowStore(u64),
+    /// Answers to workers get lost now and then.
+    LoseReplies(u64),
+    WorkerDies(usize),
+    /// A machine is cut off; packets are held if true.
+    CutWorker(usize, u64, bool),
+    Hang(usize, u64),
+    CutZones(u64, bool),
+    /// The leader is cut off from everything.
+    CutNode(u64, bool),
+    /// The user cancels a job, and is told.
+    CancelAt(u64),
+}
+
+struct Node {
+    core: Core,
+    started: u64,
+    next: [u64; 4], // lease, sync, summary, epoch
+    relaying: u64,
+}
+
+impl Node {
+    fn moment(&self, now: u64) -> Moment {
+        // A clock that runs a little fast, differently on each node.
+        let gone = now - self.started;
+        let drift = gone * u64::from(self.core.me.0) / 4_000;
+        Moment { steady: Steady(gone + drift), wall: Wall(1_000_000 + now) }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Place {
+    Node(usize),
+    Worker(usize),
+    Store,
+}
+
+enum Message {
+    Report(usize, usize, Report),
+    Reply(usize, u64, Answer),
+    Summary(usize, usize, Box<Summary>),
+    Plan(usize, Box<Plan>),
+}
+
+struct Cut {
+    from: BTreeSet<Place>,
+    to: BTreeSet<Place>,
+    until: u64,
+    hold: bool,
+}
+
+pub struct World {
+    now: u64,
+    rng: SmallRng,
+    pub checker: Checker,
+    store: Store,
+    nodes: Vec<Result<Node, u64>>, // or when it comes back
+    workers: Vec<Worker>,
+    cuts: Vec<Cut>,
+    refused: Vec<(usize, u64)>,
+    slow_until: u64,
+    lossy_until: u64,
+    late: Vec<(u64, Txn)>,
+    messages: BTreeMap<(u64, u64), Message>,
+    sent: u64,
+    lives: u64,
+    jobs: BTreeMap<u64, JobSpec>,
+    completed: BTreeSet<TaskId>,
+    told: BTreeSet<u64>,
+    wanted_cancels: BTreeSet<u64>,
+}
+
+fn spec(id: u64, tasks: u32, run_s: f64) -> JobSpec {
+    JobSpec {
+        r#ref: JobId(id),
+        lane: "lane".into(),
+        owner: "red".into(),
+        shape: Shape::Sweep,
+        urgency: if id.is_multiple_of(2) { Urgency::High } else { Urgency::Normal },
+        pieces: tasks,
+        vcpus: 4.0,
+        accelerators: 0.0,
+        mem_gb: 8.0,
+        bundle: format!("img-{}", id % 3),
+        size_gb: 1.0,
+        hulls: None,
+        yard: None,
+        one_zone: false,
+        scatter: id.is_multiple_of(4),
+        loaners: true,
+        guess_s: run_s,
+        bookmark_s: 0.0,
+        stash_s: 0.0,
+        due_s: None,
+    }
+}
+
+fn flavors() -> Flavors {
+    Flavors {
+        hulls: vec![Flavor {
+            sku: "small".into(),
+            vcpus: 8.0,
+            accelerators: 0.0,
+            mem_gb: 64.0,
+            local_gb: 50.0,
+            fetch_gb_per_s: 0.5,
+            hourly: 1.0,
+            market_price: 0.3,
+            startup_s: 30.0,
+            yards: ZONES.map(String::from).to_vec(),
+        }],
+    }
+}
+
+/// A few failures at random times, some of them at once.
+pub fn random_faults(seed: u64) -> Vec<(u64, Fault)> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut faults: Vec<(u64, Fault)> = (0..5)
+        .map(|_| {
+            let ms = rng.random_range(4_000..25_000);
+            let hold = rng.random_bool(0.5);
+            let worker = rng.random_range(0..4);
+            let fault = match rng.random_range(0..12) {
+                0 => Fault::CrashAll,
+                1 => Fault::StoreOutage(ms),
+                2 => Fault::RefuseStore(ms),
+                3 => Fault::SlowStore(ms),
+                4 => Fault::LoseReplies(ms),
+                5 => Fault::WorkerDies(worker),
+                6 => Fault::CutWorker(worker, ms, hold),
+                7 => Fault::Hang(worker, ms),
+                8 => Fault::CutZones(ms, hold),
+                9 => Fault::CutNode(ms, hold),
+                10 => Fault::CancelAt(rng.random_range(1..7)),
+                _ => Fault::CrashLeader,
+            };
+            (rng.random_range(5_000..70_000), fault)
+        })
+        .collect();
+    faults.sort_by_key(|f| f.0);
+    faults
+}
+
+impl World {
+    pub fn new(seed: u64) -> Self {
+        let workers = (0..8).map(|i| Worker::new(i, ZONES[i % 2], 0, 1_000, 10_000)).collect();
+        World {
+            now: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            checker: Checker::new(CANCEL_MS, TEAM_LIMIT),
+            store: Store::default(),
+            nodes: (0..3).map(|_| Err(0)).collect(),
+            workers,
+            cuts: Vec::new(),
+            refused: Vec::new(),
+            slow_until: 0,
+            lossy_until: 0,
+            late: Vec::new(),
+            messages: BTreeMap::new(),
+            sent: 0,
+            lives: 0,
+            jobs: (1..9).map(|id| (id, spec(id, 3 + id as u32 % 4, 8.0))).collect(),
+            completed: BTreeSet::new(),
+            told: BTreeSet::new(),
+            wanted_cancels: BTreeSet::new(),
+        }
+    }
+
+    pub fn run(&mut self, faults: &[(u64, Fault)], until: u64) {
+        let mut faults = faults.iter().peekable();
+        while self.now < until {
+            while let Some((_, fault)) = faults.next_if(|f| f.0 <= self.now) {
+                self.fail(*fault);
+            }
+            self.step();
+            if self.unfinished().is_empty() && faults.peek().is_none() && self.now > 60_000 {
+                return;
+            }
+            self.now += STEP;
+        }
+    }
+
+    /// Jobs that have neither been told done nor cancelled.
+    pub fn unfinished(&self) -> Vec<u64> {
+        self.jobs.keys().filter(|j| !self.told.contains(j)).copied().collect()
+    }
+
+    fn leader(&self) -> usize {
+        let leads = |n: &Result<Node, u64>| n.as_ref().is_ok_and(|n| n.core.lead.is_some());
+        self.nodes.iter().position(leads).unwrap_or(0)
+    }
+
+    fn crash(&mut self, node: usize) {
+        self.nodes[node] = Err(self.now + BACK_MS);
+    }
+
+    fn fail(&mut self, fault: Fault) {
+        let now = self.now;
+        match fault {
+            Fault::CrashLeader => self.crash(self.leader()),
+            Fault::CrashAll => (0..3).for_each(|n| self.crash(n)),
+            Fault::StoreOutage(ms) => self.store.outage(now, ms),
+            Fault::RefuseStore(ms) => self.refused.push((self.leader(), now + ms)),
+            Fault::SlowStore(ms) => self.slow_until = now + ms,
+            Fault::LoseReplies(ms) => self.lossy_until = now + ms,
+            Fault::WorkerDies(w) => {
+                let changes = self.workers[w].vanish();
+                self.see(w, changes);
+            }
+            Fault::CutWorker(w, ms, hold) => {
+                let nodes = (0..3).map(Place::Node).collect();
+                self.cut([Place::Worker(w)].into(), nodes, ms, hold);
+            }
+            Fault::Hang(w, ms) => self.workers[w].hung_until = now + ms,
+            Fault::CutZones(ms, hold) => {
+                let side = |zone: usize| -> BTreeSet<Place> {
+                    let nodes = (0..3).filter(|n| n % 2 == zone).map(Place::Node);
+                    let workers = self.workers.iter().filter(|w| w.id % 2 == zone);
+                    nodes.chain(workers.map(|w| Place::Worker(w.id))).collect()
+                };
+                self.cut(side(0), side(1), ms, hold);
+            }
+            Fault::CutNode(ms, hold) => {
+                let node = self.leader();
+                let mut rest: BTreeSet<Place> =
+                    (0..3).filter(|n| *n != node).map(Place::Node).collect();
+                rest.extend((0..self.workers.len()).map(Place::Worker));
+                rest.insert(Place::Store);
+                self.cut([Place::Node(node)].into(), rest, ms, hold);
+            }
+            Fault::CancelAt(job) => {
+                self.wanted_cancels.insert(job);
+            }
+        }
+    }
+
+    fn cut(&mut self, from: BTreeSet<Place>, to: BTreeSet<Place>, ms: u64, hold: bool) {
+        self.cuts.push(Cut { from, to, until: self.now + ms, hold });
+    }
+
+    /// When a packet arrives that is sent now; `None` if never.
+    fn arrival(&mut self, a: Place, b: Place) -> Option<u64> {
+        let mut at = self.now + self.rng.random_range(1..15);
+        for c in self.cuts.iter().filter(|c| c.until > self.now) {
+            let crosses = (c.from.contains(&a) && c.to.contains(&b))
+                || (c.from.contains(&b) && c.to.contains(&a));
+            if crosses && !c.hold {
+                return None;
+            }
+            if crosses {
+                at = at.max(c.until + 5);
+            }
+        }
+        Some(at)
+    }
+
+    fn send(&mut self, a: Place, b: Place, message: Message) {
+        if let Some(at) = self.arrival(a, b) {
+            self.sent += 1;
+            self.messages.insert((at, self.sent), message);
+        }
+    }
+
+    fn reaches_store(&mut self, node: usize) -> bool {
+        let now = self.now;
+        self.store.up(now)
+            && !self.refused.iter().any(|(n, until)| *n == node && *until > now)
+            && self.arrival(Place::Node(node), Place::Store).is_some_and(|at| at < now + 100)
+    }
+
+    fn see(&mut self, worker: usize, changes: Vec<Change>) {
+        for change in changes {
+            let event = match change {
+                Change::Runs(t) => {
+                    let task = (t.job.0, t.index);
+                    Event::Starts { task, machine: worker, team: 0, cores: 4 }
+                }
+                Change::Leaves(t) => Event::Leaves { task: (t.job.0, t.index), machine: worker },
+            };
+            self.checker.see(self.now, event);
+        }
+    }
+
+    fn step(&mut self) {
+        let now = self.now;
+        self.store.tick(now);
+        let due: Vec<Txn> = {
+            let (due, late) = std::mem::take(&mut self.late).into_iter().partition(|l| l.0 <= now);
+            self.late = late;
+            let due: Vec<(u64, Txn)> = due;
+            due.into_iter().map(|l| l.1).collect()
+        };
+        if self.store.up(now) {
+            for txn in due {
+                self.store.commit(&txn);
+            }
+        }
+        for w in 0..self.workers.len() {
+            let changes = self.workers[w].tick(now, |t| 5_000 + 1_000 * u64::from(t.index % 5));
+            // A task that leaves by itself has completed; kills come with answers.
+            for c in &changes {
+                if let Change::Leaves(t) = c {
+                    self.completed.insert(*t);
+                }
+            }
+            self.see(w, changes);
+            if let Some((node, report)) = self.workers[w].report(now) {
+                let message = Message::Report(w, node, report);
+                self.send(Place::Worker(w), Place::Node(node), message);
+            }
+        }
+        while let Some(entry) = self.messages.first_entry().filter(|e| e.key().0 <= now) {
+            let message = entry.remove();
+            self.deliver(message);
+        }
+        for n in 0..3 {
+            self.step_node(n);
+        }
+        self.users();
+        self.checker.see(now, Event::Tick);
+    }
+
+    fn deliver(&mut self, message: Message) {
+        let now = self.now;
+        match message {
+            Message::Report(w, n, report) => {
+                let Ok(node) = &mut self.nodes[n] else { return };
+                let steady = node.moment(now).steady;
+                let answer = match node.core.on_report(steady, &report) {
+                    ReportAnswer::Take(reply) => Answer::Take(reply),
+                    ReportAnswer::Go(name) => {
+                        Answer::Go(node.core.nodes.iter().position(|i| i.name == name).unwrap())
+                    }
+                    ReportAnswer::Refuse => Answer::Refuse,
+                };
+                if now < self.lossy_until && self.rng.random_bool(0.3) {
+                    return;
+                }
+                let reply = Message::Reply(w, report.tally, answer);
+                self.send(Place::Node(n), Place::Worker(w), reply);
+            }
+            Message::Reply(w, tally, answer) => {
+                let changes = self.workers[w].answer(now, tally, answer);
+                self.see(w, changes);
+            }
+            Message::Summary(from, to, summary) => {
+                let Ok(node) = &mut self.nodes[to] else { return };
+                let steady = node.moment(now).steady;
+                if let (Tell::Plan(plan), _) = node.core.take_summary(steady, *summary) {
+                    self.send(Place::Node(to), Place::Node(from), Message::Plan(from, plan));
+                }
+            }
+            Message::Plan(to, plan) => {
+                if let Ok(node) = &mut self.nodes[to] {
+                    node.core.part.follow(*plan);
+                }
+            }
+        }
+    }
+
+    fn step_node(&mut self, n: usize) {
+        let now = self.now;
+        if let Err(back) = self.nodes[n] {
+            if now < back {
+                return;
+            }
+            self.lives += 1;
+            let mut text = SETTINGS.to_string();
+            if n > 0 {
+                // Each node sees itself first; the addresses do not matter here.
+                let (me, site) = (format!("host-{n}"), ZONES[n % 2]);
+                text = text.replacen(&format!("\"{me}\""), "\"host-x\"", 1);
+                text = text.replacen("\"host-0\"", &format!("\"{me}\""), 1);
+                text = text.replacen("\"host-x\"", "\"host-0\"", 1);
+                text = text.replacen("site = \"a\"", &format!("site = \"{site}\""), 1);
+                if n == 1 {
+                    text = text.replacen("\"host-0\"\nsite = \"b\"", "\"host-0\"\nsite = \"a\"", 1);
+                }
+            }
+            let settings = Rc::new(Settings::parse(&text).unwrap());
+            let mut core = Core::new(settings, Incarnation(self.lives));
+            assert_eq!(core.me, NodeId(n as u8));
+            core.set_flavors(&flavors());
+            self.nodes[n] = Ok(Node { core, started: now, next: [now; 4], relaying: 0 });
+        }
+        self.keep_lease(n);
+        self.sync(n);
+        self.summarize(n);
+        self.lead(n);
+    }
+
+    fn due(&mut self, n: usize, which: usize, every: u64) -> bool {
+        let Ok(node) = &mut self.nodes[n] else { return false };
+        if self.now < node.next[which] {
+            return false;
+        }
+        node.next[which] = self.now + every;
+        true
+    }
+
+    /// Commits for a node: `None` if it learns nothing of the outcome.
+    fn commit(&mut self, n: usize, txn: &Txn) -> Option<Committed> {
+        if !self.reaches_store(n) {
+            return None;
+        }
+        if self.now < self.slow_until {
+            match self.rng.random_range(0..10) {
+                0 => {
+                    self.late.push((self.now + self.rng.random_range(100..6_000), txn.clone()));
+                    return None;
+                }
+                1 => {
+                    // Carried out, answer lost, and carried out once more later.
+                    self.store.commit(txn);
+                    self.late.push((self.now + 1_000, txn.clone()));
+                    return None;
+                }
+                _ => {}
+            }
+        }
+        self.store.commit(txn)
+    }
+
+    fn keep_lease(&mut self, n: usize) {
+        if !self.due(n, 0, 700) || !self.reaches_store(n) {
+            return;
+        }
+        let now = self.now;
+        let Ok(node) = &mut self.nodes[n] else { return };
+        let sent = node.moment(now).steady;
+        if !node.core.loaded {
+            return;
+        }
+        if let Some(lease) = node.core.rights.lease {
+            if self.store.renew(now, lease) {
+                node.core.rights.confirm_renewal(sent);
+            } else {
+                node.core.rights.lose_lease();
+            }
+            return;
+        }
+        let lease = self.store.grant(now, LEASE_MS);
+        let txn = node.core.member_txn(lease);
+        let done = self.commit(n, &txn);
+        if let (Some(Committed::Yes(_)), Ok(node)) = (done, &mut self.nodes[n]) {
+            node.core.rights.lease = Some(lease);
+            node.core.rights.confirm_renewal(sent);
+        }
+    }
+
+    fn sync(&mut self, n: usize) {
+        if self.due(n, 1, 100) {
+            self.pull(n);
+        }
+    }
+
+    fn pull(&mut self, n: usize) {
+        if !self.reaches_store(n) {
+            return;
+        }
+        let now = self.now;
+        let Ok(node) = &mut self.nodes[n] else { return };
+        let moment = node.moment(now);
+        let core = &mut node.core;
+        if !core.loaded {
+            let (items, revision) = self.store.all();
+            core.load(&items, revision);
+            let all = willowshore::ledger::Brought { lead: true, ..Default::default() };
+            core.follow(moment, &all);
+        }
+        let changes = self.store.changes(core.ledger.revision);
+        if let Some(brought) = core.apply(&changes, moment.steady) {
+            core.follow(moment, &brought);
+        }
+        if core.may_stand(moment.steady).is_some()
+            && let Some(txn) = core.lead_txn()
+        {
+            self.commit(n, &txn);
+        }
+        let Ok(node) = &mut self.nodes[n] else { return };
+        if let Some(txn) = node.core.finished_txn() {
+            self.commit(n, &txn);
+        }
+    }
+
+    fn summarize(&mut self, n: usize) {
+        if !self.due(n, 2, 200) {
+            return;
+        }
+        let now = self.now;
+        let Ok(node) = &mut self.nodes[n] else { return };
+        let steady = node.moment(now).steady;
+        let Some(leader) = node.core.ledger.lead.as_ref().map(|l| usize::from(l.0.node.0)) else {
+            return;
+        };
+        let summary = node.core.part.summary(steady);
+        if leader == n {
+            if let (Tell::Plan(plan), _) = node.core.take_summary(steady, summary) {
+                node.core.part.follow(*plan);
+            }
+            return;
+        }
+        // Peers that cannot reach each other go through the store, which takes longer.
+        let arrives = self.arrival(Place::Node(n), Place::Node(leader));
+        if arrives.is_some_and(|at| at < now + 500) {
+            let message = Message::Summary(n, leader, Box::new(summary));
+            self.send(Place::Node(n), Place::Node(leader), message);
+        } else {
+            self.relay(n, leader, summary);
+        }
+    }
+
+    fn relay(&mut self, n: usize, leader: usize, summary: Summary) {
+        if !self.reaches_store(n) || !self.reaches_store(leader) {
+            return;
+        }
+        let now = self.now;
+        if let Ok(node) = &mut self.nodes[n] {
+            if now < node.relaying {
+                return;
+            }
+            node.relaying = now + 600;
+        }
+        let Ok(lead) = &mut self.nodes[leader] else { return };
+        let steady = lead.moment(now).steady;
+        if let (Tell::Plan(plan), _) = lead.core.take_summary(steady, summary) {
+            self.sent += 1;
+            self.messages.insert((now + 600, self.sent), Message::Plan(n, plan));
+        }
+    }
+
+    fn lead(&mut self, n: usize) {
+        if !self.due(n, 3, 200) {
+            return;
+        }
+        let now = self.now;
+        let Ok(node) = &mut self.nodes[n] else { return };
+        let moment = node.moment(now);
+        let Some((epoch, term)) = node.core.epoch(moment) else { return };
+        if node.core.lead.as_ref().is_some_and(|l| l.renew_term.is_some()) {
+            if let Some(txn) = node.core.lead_txn() {
+                self.commit(n, &txn);
+            }
+            self.pull(n);
+            return;
+        }
+        let durable = match &epoch.txn {
+            Some(txn) => match self.commit(n, &txn.clone()) {
+                Some(Committed::Yes(stamp)) => Some((txn.clone(), stamp)),
+                _ => return self.pull(n),
+            },
+            None => None,
+        };
+        let Ok(node) = &mut self.nodes[n] else { return };
+        if let Some((txn, stamp)) = durable {
+            let brought = node.core.apply_own(&txn, stamp);
+            node.core.follow(moment, &brought);
+        }
+        node.core.publish(moment, epoch, term);
+        let gone = node.core.with_lead(moment, |lead, ctx| lead.to_return(ctx)).unwrap_or_default();
+        for id in &gone {
+            if let Some(w) = (0..self.workers.len()).find(|w| self.workers[*w].name() == *id) {
+                let changes = self.workers[w].vanish();
+                self.see(w, changes);
+            }
+        }
+        // What was returned is replaced, so that the day can end.
+        for _ in &gone {
+            let id = self.workers.len();
+            self.workers.push(Worker::new(id, ZONES[id % 2], now, 1_000, 10_000));
+        }
+        if let Ok(node) = &mut self.nodes[n]
+            && let Some(lead) = &mut node.core.lead
+        {
+            lead.machines_gone(&gone);
+        }
+    }
+
+    /// Users submit, cancel and ask, at any node that serves them.
+    fn users(&mut self) {
+        let now = self.now;
+        if !now.is_multiple_of(500) {
+            return;
+        }
+        for id in self.jobs.keys().copied().collect::<Vec<_>>() {
+            if now >= id * 3_500 && !self.told.contains(&id) {
+                let n = self.rng.random_range(0..3);
+                self.ask(n, id);
+            }
+        }
+    }
+
+    fn ask(&mut self, n: usize, id: u64) {
+        let now = self.now;
+        let Ok(node) = &self.nodes[n] else { return };
+        let ledger = &node.core.ledger;
+        if let Some((stage, _)) = ledger.ended.get(&JobId(id)) {
+            let of = self.jobs[&id].pieces;
+            let done = self.completed.iter().filter(|t| t.job.0 == id).count() as u32;
+            self.told.insert(id);
+            let event = match stage {
+                JobStage::Done => Event::CalledDone { job: id, done, of },
+                _ => Event::Cancelled { job: id },
+            };
+            self.checker.see(now, event);
+            return;
+        }
+        if !node.core.loaded || !self.reaches_store(n) {
+            return;
+        }
+        let Ok(node) = &self.nodes[n] else { return };
+        if !node.core.ledger.jobs.contains_key(&JobId(id)) {
+            // A repeat at another node, or while the first is still out, changes nothing.
+            let txn = accept_txn([&self.jobs[&id]].into_iter(), Wall(1_000_000 + now));
+            self.commit(n, &txn);
+        } else if self.wanted_cancels.contains(&id)
+            && let Some(txn) = node.core.cancel_txn(JobId(id))
+        {
+            self.commit(n, &txn);
+        }
+    }
+}
