--- a/src/lead.rs
+++ b/src/lead.rs
@@ -1331,3 +1331,130 @@
     }
     records
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::config::tests::EXAMPLE;
+    use crate::core::{Core, Moment};
+    use crate::ledger::{Accepted, Brought, LeadRecord, TermRecord};
+    use crate::model::{Revision, Session, StoreLease};
+    use crate::peer::TaskView;
+    use crate::place::tests::flavor;
+    use crate::wire::Item;
+    use crate::wire::tests::spec;
+    use std::rc::Rc;
+
+    const LIFE: Incarnation = Incarnation(5);
+
+    fn at(ms: u64) -> Moment {
+        Moment { steady: Steady(ms), wall: Wall(1_000_000 + ms) }
+    }
+
+    /// A leader of term 3 with a job of one task that term 2 granted, and two machines.
+    fn leader() -> Core {
+        let settings = Settings::parse(EXAMPLE).unwrap();
+        let mut core = Core::new(Rc::new(settings), LIFE);
+        let small = flavor("small", 8.0, 64.0);
+        core.set_flavors(&wire::Flavors { hulls: vec![small] });
+        let job = JobId(1);
+        let record = EpochRecord { term: Term(2), granted: vec![(job, Ranges::span(0, 1))] };
+        let lead = LeadRecord { node: NodeId(0), life: LIFE, term: Term(3) };
+        let machine = |up| MachineRecord {
+            hull: "small".into(),
+            zone: "a".into(),
+            spot: false,
+            up,
+            gone: None,
+        };
+        let item = |path: &str, v| Item { path: path.into(), v, stamp: Revision(9) };
+        let accepted = Accepted { spec: spec(1, 1), at: Wall(1) };
+        core.load(
+            &[
+                item(&ledger::job_key(job), wire::to_value(&accepted)),
+                item(&ledger::epoch_key(0), wire::to_value(&record)),
+                item(ledger::LEAD_KEY, wire::to_value(&lead)),
+                item(ledger::TERM_KEY, wire::to_value(&TermRecord { term: Term(3) })),
+                item("m/n-1", wire::to_value(&machine(true))),
+                item("m/n-2", wire::to_value(&machine(true))),
+            ],
+            Revision(9),
+        );
+        core.rights.lease = Some(StoreLease(1));
+        core.rights.confirm_renewal(Steady(0));
+        core.rights.confirm_sync(Steady(0));
+        core.follow(at(0), &Brought { lead: true, ..Brought::default() });
+        core
+    }
+
+    fn view(id: &str, settled: bool, tasks: &[u32]) -> MachineView {
+        MachineView {
+            id: MachineId::new(id),
+            hull: "small".into(),
+            zone: "a".into(),
+            spot: false,
+            session: Session(1),
+            settled,
+            silent_ms: 0,
+            warning_ms: None,
+            shunned: false,
+            faults: 0,
+            tasks: tasks
+                .iter()
+                .map(|index| TaskView {
+                    task: TaskId { job: JobId(1), index: *index },
+                    attempt: Attempt(7),
+                    stage: PieceStage::Running,
+                    age_ms: 0,
+                })
+                .collect(),
+            images: vec![],
+        }
+    }
+
+    /// Tells the leader what the only controller knows and plays an epoch; says whether it
+    /// grants anything.
+    fn tell(core: &mut Core, ms: u64, followed: u64, machines: Vec<MachineView>) -> bool {
+        let summary = Summary {
+            node: NodeId(0),
+            life: LIFE,
+            number: ms,
+            term: Term(3),
+            followed: PlanSeq(followed),
+            echo_ms: 0,
+            up_ms: ms,
+            machines,
+            answered: vec![],
+            strays: vec![],
+            failing: vec![],
+        };
+        core.take_summary(Steady(ms), summary);
+        let (epoch, term) = core.epoch(at(ms)).unwrap();
+        let grants = !epoch.is_empty();
+        core.publish(at(ms), epoch, term);
+        grants
+    }
+
+    #[test]
+    fn what_an_owner_remembers_from_an_earlier_term_proves_nothing() {
+        // Seen on a bench day: a takeover, a summary from before the first plan with the task
+        // on n-1, then one in which the owner had forgotten that machine. The task was
+        // started on n-2 while it ran on n-1.
+        let mut core = leader();
+        let both = |tasks| vec![view("n-1", true, tasks), view("n-2", true, &[])];
+        assert!(!tell(&mut core, 1_100, 0, vec![]), "owners are assigned");
+        assert!(!tell(&mut core, 1_300, 0, both(&[0])), "remembered from before");
+        assert!(!tell(&mut core, 1_500, 2, vec![view("n-2", true, &[])]), "n-1 is not told of");
+        assert!(!tell(&mut core, 1_700, 2, both(&[0])), "it runs");
+        assert!(tell(&mut core, 1_900, 3, both(&[])), "n-1 says itself that it is not there");
+    }
+
+    #[test]
+    fn a_task_in_limbo_waits_for_every_machine_that_may_have_it() {
+        let mut core = leader();
+        let seen = |settled| vec![view("n-1", settled, &[]), view("n-2", true, &[])];
+        assert!(!tell(&mut core, 1_100, 0, vec![]));
+        assert!(!tell(&mut core, 1_300, 2, seen(false)), "n-1 may still take older orders");
+        assert!(tell(&mut core, 1_500, 3, seen(true)));
+    }
+}
