Leave machines to the large images that they have, more than before

Cause: at Anh 71% of gia-giam starts wait for a fetch of 23 s on average, as brief tasks take the machines that have its images. Ruled out: order latency (p50 under 3 s).

--- a/src/place.rs
+++ b/src/place.rs
@@ -167,7 +167,7 @@
 /// Seconds of waiting that are worth leaving a machine to the images of other jobs that it
 /// has, per GB of them. Jobs gather on machines that have their image, and fetches of large
 /// images become rare.
-const OTHER_IMAGES_S_PER_GB: f64 = 0.12;
+const OTHER_IMAGES_S_PER_GB: f64 = 0.5;
 
 /// A machine that has not reported for that long takes nothing new.
 const SILENT_MS: u64 = 4_000;
