Return machines that fall silent while all controllers are heard well, before their lease ends

Change: when every controller is heard, none restarted lately and the owner hears others, four report periods of silence are enough to return a machine; the cloud's answer proves it gone.

--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -53,15 +53,17 @@
 #[derive(Clone, Debug, Default)]
 pub struct Market {
     refused: HashMap<Offer, Steady>,
-    /// Cores that brief work used or wanted: recent peak of urgent work, decaying, and mean
-    /// of all.
+    /// Cores that brief work used or wanted: peaks of urgent work, decaying slowly and fast,
+    /// and mean of all.
+    slow_peak: f64,
     peak: f64,
     mean: f64,
     at: Steady,
 }
 
-/// Time in which a remembered peak halves.
-const PEAK_HALVES_S: f64 = 180.0;
+/// Times in which a remembered peak halves: spot machines are cheap enough to be kept longer.
+const PEAK_HALVES_S: f64 = 100.0;
+const SLOW_PEAK_HALVES_S: f64 = 300.0;
 /// Time over which the mean is taken.
 const MEAN_OVER_S: f64 = 60.0;
 /// How long an offer that was refused is not asked for again.
@@ -101,15 +103,17 @@
     pub fn note(&mut self, now: Steady, brief: Cores, urgent: Cores) {
         let dt = now.since(self.at) as f64 / 1000.0;
         self.at = now;
-        self.peak = (self.peak * 0.5f64.powf(dt / PEAK_HALVES_S)).max(urgent.amount());
+        let peak = |old: f64, halves: f64| (old * 0.5f64.powf(dt / halves)).max(urgent.amount());
+        self.peak = peak(self.peak, PEAK_HALVES_S);
+        self.slow_peak = peak(self.slow_peak, SLOW_PEAK_HALVES_S);
         let keep = (-dt / MEAN_OVER_S).exp();
         self.mean = self.mean * keep + brief.amount() * (1.0 - keep);
     }
 
     /// Cores to keep for brief work, on spot machines or on any.
     fn ready(&self, spot: bool) -> f64 {
-        let (mean, peak) = (self.mean * READY_MEAN, self.peak);
-        mean.max(peak * if spot { READY_SPOT } else { READY_ANY })
+        let peak = if spot { self.slow_peak * READY_SPOT } else { self.peak * READY_ANY };
+        peak.max(self.mean * READY_MEAN)
     }
 
     fn open(&self, offer: &Offer, now: Steady) -> bool {
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -949,6 +949,7 @@
         let lease = plus_drift(ctx.settings.worker_lease_ms()) + 1_000;
         // Whoever is up has had a whole lease to report to this term's controllers.
         let calm = now.since(self.began) > lease;
+        let quick = ((ctx.settings.params.workers.report_s * 4_000.0) as u64).clamp(5_000, lease);
         self.fleet
             .iter()
             .filter(|(id, m)| {
@@ -965,7 +966,8 @@
                             && v.settled
                             && !self.may_still_hold(id);
                         let heard = self.heard.get(id).copied().unwrap_or(self.began);
-                        drained || (calm && now.since(heard) > lease)
+                        let limit = if self.hears_well(ctx, *node) { quick } else { lease };
+                        drained || (calm && now.since(heard) > limit)
                     }
                     None => {
                         let heard = self.heard.get(id).copied().unwrap_or(self.began);
@@ -984,6 +986,19 @@
             .collect()
     }
 
+    /// Whether silence of a machine can only be its own: all controllers are heard, none of
+    /// them restarted lately, and its owner hears others. A machine that is merely cut off
+    /// for longer would lose its tasks with its lease anyway.
+    fn hears_well(&self, ctx: &Context<'_>, owner: NodeId) -> bool {
+        let settled_ms = plus_drift(ctx.settings.worker_lease_ms()) + 5_000;
+        self.nodes.len() == ctx.nodes.len()
+            && self
+                .nodes
+                .values()
+                .all(|n| ctx.now.since(n.at) < 1_000 && n.summary.up_ms > settled_ms)
+            && self.views().any(|(m, node, _)| node == owner && m.silent_ms < 2_000)
+    }
+
     /// Whether an order under way could still bring a task to a drained machine.
     fn may_still_hold(&self, id: &MachineId) -> bool {
         self.unsettled.contains(id)
