--- a/src/api.rs
+++ b/src/api.rs
@@ -197,7 +197,7 @@
         }
         let tasks = match spec.shape {
             Shape::Sweep => 1,
-            Shape::Service => u64::from(spec.pieces),
+            Shape::Service | Shape::Gang => u64::from(spec.pieces),
         };
         let need = place::Need::of(spec);
         let over = |limit: Option<crate::model::Cores>, each: u64| {
--- a/src/core.rs
+++ b/src/core.rs
@@ -179,7 +179,7 @@
                     &self.flavors,
                     now,
                 );
-                self.lead = Some(Lead::begin(&ctx, self.me, term, before));
+                self.lead = Some(Lead::begin(&ctx, term, before));
             }
             (None, Some(lead)) => {
                 info!(term = %lead.term, "no longer leading");
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -13,12 +13,12 @@
 use crate::config::{NodeInfo, Settings};
 use crate::ledger::{self, EpochRecord, Job, Ledger, MachineRecord};
 use crate::model::{
-    Attempt, Cores, Incarnation, JobId, MachineId, NodeId, PlanSeq, Ranges, Steady, TaskId, Term,
-    Wall,
+    Attempt, Cores, Incarnation, JobId, LEADERS_ATTEMPTS, MachineId, NodeId, PlanSeq, Ranges,
+    Steady, TaskId, Term, Wall,
 };
 use crate::peer::{Grant, MachineView, Plan, Standing, Summary, Waits};
 use crate::place::{self, Flavors, Need, Room};
-use crate::term::{last_right, plus_drift};
+use crate::term::{Attempts, last_right, plus_drift};
 use crate::wire::{self, Change, PieceStage, Shape, Txn, Urgency};
 
 /// A controller that has not been heard for that long is taken as lost.
@@ -27,6 +27,8 @@
 const GRANT_UNUSED_MS: u64 = 4_500;
 /// How long a stray must have been unable to reach its owner before it is moved.
 const STRAY_MS: u64 = 2_500;
+/// How much less each further task of a job is worth than the one before.
+const FADE: f64 = 0.995;
 /// How long a machine that is gone stays known, against late reports.
 const TOMBSTONE_MS: u64 = 600_000;
 /// Least time between two new terms that only balance the parts.
@@ -62,6 +64,7 @@
 #[derive(Clone)]
 struct Granted {
     node: NodeId,
+    attempt: Option<Attempt>,
     at: Steady,
     zone: Option<String>,
 }
@@ -86,7 +89,6 @@
 /// A task that is on a machine.
 struct Seen {
     machine: MachineId,
-    attempt: Attempt,
     stage: PieceStage,
     zone: String,
 }
@@ -96,13 +98,12 @@
 pub struct Epoch {
     /// The transaction, unless nothing durable changes.
     pub txn: Option<Txn>,
-    grants: Vec<(TaskId, NodeId, Option<String>)>,
+    grants: Vec<(TaskId, Granted)>,
     durable: Option<BTreeSet<TaskId>>,
 }
 
 /// The leader's state in one term.
 pub struct Lead {
-    me: NodeId,
     /// Its term.
     pub term: Term,
     began: Steady,
@@ -112,6 +113,7 @@
     owners: BTreeMap<MachineId, (NodeId, PlanSeq)>,
     granted: BTreeMap<TaskId, Granted>,
     revoked: HashMap<TaskId, Revoked>,
+    attempts: Attempts,
     limbo: HashSet<TaskId>,
     unsettled: BTreeSet<MachineId>,
     durable: BTreeSet<TaskId>,
@@ -126,7 +128,7 @@
     pub market: Market,
     waits: HashMap<JobId, Waits>,
     runs: HashMap<String, (f64, f64)>,
-    seen_running: HashMap<TaskId, (JobId, u64)>,
+    seen_running: HashMap<TaskId, Steady>,
     decision: capacity::Decision,
 }
 
@@ -140,7 +142,7 @@
 impl Lead {
     /// Begins a term. `before` is the same leader's state in its last term, if it led: what it
     /// knows of machines and the market stays, what it knows of tasks does not.
-    pub fn begin(ctx: &Context<'_>, me: NodeId, term: Term, before: Option<Lead>) -> Self {
+    pub fn begin(ctx: &Context<'_>, term: Term, before: Option<Lead>) -> Self {
         let ledger = ctx.ledger;
         let unsettled: BTreeSet<MachineId> = ledger
             .machines
@@ -149,7 +151,6 @@
             .map(|(id, _)| id.clone())
             .collect();
         let mut lead = Lead {
-            me,
             term,
             began: ctx.now,
             seq: 0,
@@ -157,6 +158,7 @@
             owners: BTreeMap::new(),
             granted: BTreeMap::new(),
             revoked: HashMap::new(),
+            attempts: Attempts::new(term, LEADERS_ATTEMPTS),
             limbo: ledger.granted_before(),
             unsettled,
             durable: BTreeSet::new(),
@@ -266,12 +268,7 @@
         self.views()
             .flat_map(|(m, _, _)| {
                 m.tasks.iter().map(move |t| {
-                    let seen = Seen {
-                        machine: m.id.clone(),
-                        attempt: t.attempt,
-                        stage: t.stage,
-                        zone: m.zone.clone(),
-                    };
+                    let seen = Seen { machine: m.id.clone(), stage: t.stage, zone: m.zone.clone() };
                     (t.task, seen)
                 })
             })
@@ -280,7 +277,6 @@
 
     /// Works out an epoch. Nothing of it holds before [`publish`](Self::publish).
     pub fn epoch(&mut self, ctx: &Context<'_>) -> Epoch {
-        let now = ctx.now;
         self.follow_members(ctx);
         self.check_nodes(ctx);
         self.assign(ctx);
@@ -292,7 +288,6 @@
         self.grant(ctx, &on, &mut rooms, &mut epoch);
         self.decide_capacity(ctx, &on, &rooms, &epoch);
         self.compose(ctx, &on, &mut epoch);
-        let _ = now;
         epoch
     }
 
@@ -486,20 +481,18 @@
                 }
             }
         }
-        let mut running: HashMap<TaskId, (JobId, u64)> = HashMap::new();
-        for (t, s) in on.iter().filter(|(_, s)| s.stage == PieceStage::Running) {
-            let began = self.seen_running.get(t).map_or(now.0, |r| r.1);
-            let _ = s;
-            running.insert(*t, (t.job, began));
+        let mut running: HashMap<TaskId, Steady> = HashMap::new();
+        for (t, _) in on.iter().filter(|(_, s)| s.stage == PieceStage::Running) {
+            running.insert(*t, self.seen_running.get(t).copied().unwrap_or(now));
         }
-        for (t, (_, began)) in &self.seen_running {
+        for (t, began) in &self.seen_running {
             if running.contains_key(t) {
                 continue;
             }
             let Some(job) = ctx.ledger.jobs.get(&t.job).filter(|j| j.is_done(t.index)) else {
                 continue;
             };
-            let took = now.since(Steady(*began)) as f64 / 1000.0;
+            let took = now.since(*began) as f64 / 1000.0;
             let entry = self.runs.entry(job.spec.lane.clone()).or_insert((0.0, 0.0));
             entry.0 = entry.0 * 0.97 + took;
             entry.1 = entry.1 * 0.97 + job.spec.guess_s.max(0.1);
@@ -736,7 +729,44 @@
             if share < d.max {
                 self.waits.entry(d.job).or_insert(Waits::ForMachines);
             }
-            self.grant_job(ctx, on, job, d.team, more, &mut used, rooms, epoch);
+            if job.spec.shape == Shape::Gang {
+                self.grant_gang(ctx, on, job, d.team, more, &mut used, rooms, epoch);
+            } else {
+                self.grant_job(ctx, on, job, d.team, more, &mut used, rooms, epoch);
+            }
+        }
+    }
+
+    /// Grants a gang whole or not at all.
+    #[allow(clippy::too_many_arguments)]
+    fn grant_gang(
+        &mut self,
+        ctx: &Context<'_>,
+        on: &HashMap<TaskId, Seen>,
+        job: &Job,
+        team: usize,
+        more: usize,
+        used: &mut Vec<(Cores, Cores)>,
+        rooms: &mut [Room],
+        epoch: &mut Epoch,
+    ) {
+        if more < job.remaining() as usize {
+            return;
+        }
+        let (rooms_before, used_before, before) =
+            (rooms.to_vec(), used.clone(), epoch.grants.len());
+        self.grant_job(ctx, on, job, team, more, used, rooms, epoch);
+        if epoch.grants.len() - before < more {
+            epoch.grants.truncate(before);
+            rooms.clone_from_slice(&rooms_before);
+            *used = used_before;
+            self.waits.entry(job.spec.r#ref).or_insert(Waits::ForMachines);
+            return;
+        }
+        // The tasks of a gang know each other by their attempt.
+        let attempt = self.attempts.give();
+        for (_, g) in &mut epoch.grants[before..] {
+            g.attempt = Some(attempt);
         }
     }
 
@@ -759,8 +789,7 @@
             if self.limbo.iter().any(|t| t.job == id) {
                 return; // Where the others are is not known.
             }
-            for (t, s) in on.iter().filter(|(t, _)| t.job == id) {
-                let _ = t;
+            for (_, s) in on.iter().filter(|(t, _)| t.job == id) {
                 zones.count(&s.zone);
             }
             let granted = self.granted.iter().map(|(t, g)| (t, &g.zone));
@@ -816,7 +845,7 @@
             if let Some(u) = used.get_mut(team) {
                 *u = after;
             }
-            epoch.grants.push((task, node, zone));
+            epoch.grants.push((task, Granted { node, attempt: None, at: ctx.now, zone }));
         }
     }
 
@@ -847,7 +876,10 @@
                 job: *id,
                 rank: ranks.get(id).copied().unwrap_or(u32::MAX),
                 weight: weight(ctx, job, self.run_s(job), required.contains(id)),
-                curve: Curve::Concave { fade: 0.995 },
+                curve: match job.spec.shape {
+                    Shape::Gang => Curve::Step,
+                    Shape::Sweep | Shape::Service => Curve::Concave { fade: FADE },
+                },
                 team,
                 cores: Need::of(&job.spec).cores,
                 min: held,
@@ -1087,9 +1119,8 @@
         if let Some(durable) = epoch.durable {
             self.durable = durable;
         }
-        for (task, node, zone) in epoch.grants {
-            let g = Granted { node, at: ctx.now, zone };
-            self.granted.insert(task, g);
+        for (task, g) in epoch.grants {
+            self.granted.insert(task, Granted { at: ctx.now, ..g });
         }
         self.seq += 1;
         let on = self.on_machines();
@@ -1102,10 +1133,11 @@
             .collect();
         let owners: Vec<(MachineId, NodeId)> =
             self.owners.iter().map(|(id, (n, _))| (id.clone(), *n)).collect();
-        let mut grants: HashMap<NodeId, BTreeMap<(JobId, Option<String>), Ranges>> = HashMap::new();
+        type Alike = (JobId, Option<String>, Option<Attempt>);
+        let mut grants: HashMap<NodeId, BTreeMap<Alike, Ranges>> = HashMap::new();
         for (t, g) in &self.granted {
             let jobs = grants.entry(g.node).or_default();
-            jobs.entry((t.job, g.zone.clone())).or_default().insert(t.index);
+            jobs.entry((t.job, g.zone.clone(), g.attempt)).or_default().insert(t.index);
         }
         for (id, node) in &mut self.nodes {
             let mine = grants.remove(id).unwrap_or_default();
@@ -1117,9 +1149,8 @@
                 owners: owners.clone(),
                 grants: mine
                     .into_iter()
-                    .map(|((job, zone), tasks)| Grant { job, tasks, zone })
+                    .map(|((job, zone, attempt), tasks)| Grant { job, tasks, zone, attempt })
                     .collect(),
-                evict: Vec::new(),
                 drain: drain.clone(),
                 standings: standings.clone(),
             });
@@ -1158,11 +1189,6 @@
         )
     }
 
-    /// Attempts by machine, for checks.
-    pub fn placed(&self) -> BTreeMap<TaskId, (MachineId, Attempt)> {
-        self.on_machines().into_iter().map(|(t, s)| (t, (s.machine, s.attempt))).collect()
-    }
-
     /// A node's plan as of now, for messages through the store.
     pub fn plan_for(&self, node: NodeId, now: Steady) -> Option<Plan> {
         let mut plan = self.nodes.get(&node)?.plan.clone()?;
@@ -1174,11 +1200,6 @@
     pub fn forget_rental(&mut self, offer: &Offer) {
         self.decision.rent.retain(|(o, _)| o != offer);
     }
-
-    /// Whether this leader was elected for that node.
-    pub fn is_for(&self, node: NodeId) -> bool {
-        self.me == node
-    }
 }
 
 /// Where a job's tasks may be in relation to each other.
@@ -1307,7 +1328,7 @@
     let mut inside = HashSet::new();
     for job in jobs {
         let tasks = match job.spec.shape {
-            Shape::Sweep => job.remaining(),
+            Shape::Sweep | Shape::Gang => job.remaining(),
             Shape::Service => job.spec.pieces,
         };
         let need = Cores(Need::of(&job.spec).cores.0 * u64::from(tasks));
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -433,7 +433,7 @@
             return None;
         }
         let all = progress.done.len() == job.spec.pieces;
-        if all && job.spec.shape == wire::Shape::Sweep {
+        if all && job.spec.shape != wire::Shape::Service {
             progress.end = Some(JobStage::Done);
         }
         Some(progress)
--- a/src/part.rs
+++ b/src/part.rs
@@ -134,6 +134,8 @@
     redirected: HashMap<MachineId, Steady>,
     strays: BTreeMap<MachineId, StrayRecord>,
     faults: HashMap<JobId, JobFaults>,
+    /// Attempts of gangs that a worker has shown in this term: they are never started again.
+    spent: HashSet<(TaskId, Attempt)>,
     /// Tasks that completed and whose outcome is not known to be durable yet.
     pub finished: BTreeMap<JobId, BTreeSet<u32>>,
     number: u64,
@@ -158,6 +160,7 @@
             redirected: HashMap::new(),
             strays: BTreeMap::new(),
             faults: HashMap::new(),
+            spent: HashSet::new(),
             finished: BTreeMap::new(),
             number: 0,
             news: false,
@@ -179,6 +182,7 @@
         self.attempts = Attempts::new(term, self.me);
         self.plan = None;
         self.grants.clear();
+        self.spent.clear();
         self.drained.clear();
         // Owners may change with the term, so nobody is known to be out of reach of his.
         self.redirected.clear();
@@ -334,23 +338,18 @@
         if machine.tasks.keys().copied().collect::<BTreeSet<_>>() != before {
             self.news = true;
         }
+        let shared = |a: &Attempt| self.grants.iter().any(|g| g.attempt == Some(*a));
+        let shown = report.pieces.iter().map(|p| (p.piece, p.r#try)).filter(|p| shared(&p.1));
+        let shown: Vec<_> = shown.collect();
+        self.spent.extend(shown);
         self.note_finished(env.ledger, report);
         let mut orders = kills(env.ledger, &report.pieces);
-        orders.extend(self.evictions(&report.host));
         self.clear_ended(env, report, &mut orders);
         self.start_granted(env, &report.host, &mut orders);
         self.answered.insert(report.host.clone(), now);
         ReportAnswer::Take(ReportReply { baton: self.term, orders })
     }
 
-    fn evictions(&self, id: &MachineId) -> Vec<Order> {
-        let (Some(plan), Some(machine)) = (&self.plan, self.machines.get(id)) else {
-            return Vec::new();
-        };
-        let here = |t: &TaskId, a: &Attempt| machine.tasks.get(t).is_some_and(|h| h.attempt == *a);
-        plan.evict.iter().filter(|(t, a)| here(t, a)).map(|(t, a)| kill(*t, *a)).collect()
-    }
-
     /// Clears ended tasks whose outcome no longer depends on the worker's memory, and learns
     /// from those that failed.
     fn clear_ended(&mut self, env: &Surroundings<'_>, report: &Report, orders: &mut Vec<Order>) {
@@ -429,21 +428,23 @@
             }
             let need = Need::of(&job.spec);
             let tasks = grant.tasks.iter().map(|index| TaskId { job: job_id, index });
-            for task in tasks.filter(|t| env.ledger.may_run(*t) && !held.contains(t)) {
+            let spent = |t: &TaskId| grant.attempt.is_some_and(|a| self.spent.contains(&(*t, a)));
+            let open = |t: &TaskId| env.ledger.may_run(*t) && !held.contains(t) && !spent(t);
+            for task in tasks.filter(open) {
                 let Some(i) = place::choose(&job.spec, &need, &rooms, grant.zone.as_deref()) else {
                     break;
                 };
                 rooms[i].add(&job.spec, &need);
                 if rooms[i].id == *id {
-                    starts.push((task, &job.spec));
+                    starts.push((task, &job.spec, grant.attempt));
                 }
             }
         }
         let Some(machine) = self.machines.get_mut(id) else {
             return;
         };
-        for (task, spec) in starts {
-            let attempt = self.attempts.give();
+        for (task, spec, attempt) in starts {
+            let attempt = attempt.unwrap_or_else(|| self.attempts.give());
             machine.remember_image(spec);
             machine
                 .tasks
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -104,6 +104,8 @@
     pub tasks: Ranges,
     /// The only zone in which they may start, for jobs whose tasks must be together or apart.
     pub zone: Option<String>,
+    /// The attempt that all tasks of a gang share; others get their own from the part.
+    pub attempt: Option<Attempt>,
 }
 
 /// Why a job does not run as wide as it could.
@@ -149,8 +151,6 @@
     pub owners: Vec<(MachineId, NodeId)>,
     /// What this part may start.
     pub grants: Vec<Grant>,
-    /// Tasks to be stopped to make room.
-    pub evict: Vec<(TaskId, Attempt)>,
     /// Machines that are to take nothing new.
     pub drain: Vec<MachineId>,
     /// How jobs stand.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -74,6 +74,8 @@
     Sweep,
     /// Replicas that run until the job is cancelled.
     Service,
+    /// Tasks that need each other: they run all at once or wait.
+    Gang,
 }
 
 /// A job's urgency, best first.
@@ -245,6 +247,10 @@
     NoRoom,
     /// Refused: here with another attempt.
     InUse,
+    /// The other tasks of its gang did not come.
+    Peers,
+    /// The other tasks of its gang were lost.
+    Alone,
     /// Refused: no such task; also any cause that this version does not know.
     #[serde(other)]
     Unknown,
