--- a/src/config.rs
+++ b/src/config.rs
@@ -318,49 +318,7 @@
     use super::*;
 
     /// A settings file like those that the platform hands over.
-    pub(crate) const EXAMPLE: &str = r#"
-node_name = "host-0"
-site = "a"
-api_addr = "10.0.0.1:8080"
-back = "10.0.0.1:8081"
-novelty = 4
-[[known]]
-node_name = "host-1"
-site = "b"
-address = "10.0.0.2:8081"
-[[known]]
-node_name = "host-2"
-site = "a"
-address = "10.0.0.3:8081"
-[outside]
-cloud = "10.2.0.2:8443"
-state = "10.2.0.1:2379"
-[params]
-nodes = 3
-zones = ["a", "b"]
-[[params.teams]]
-name = "red"
-cpus = 16.0
-cpus_max = 32.0
-[[params.teams]]
-name = "blue"
-[params.workers]
-report_s = 1.0
-lease_s = 10.0
-cancel_s = 30.0
-[params.state]
-rps = 200.0
-write_rps = 80.0
-value_kb = 8.0
-txn_ops = 12
-[params.cloud]
-rps = 8.0
-list_lag_s = 6.0
-[params.limits]
-cores = 0.08
-ram_mb = 56.0
-sockets = 900
-"#;
+    pub(crate) const EXAMPLE: &str = include_str!("../tests/settings.toml");
 
     #[test]
     fn settings_are_checked_once_and_say_what_is_wrong() {
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -93,6 +93,14 @@
     zone: String,
 }
 
+/// What an epoch fills: teams' use of cores and accelerators, room on machines, and grants.
+#[derive(Clone)]
+struct Filling {
+    used: Vec<(Cores, Cores)>,
+    rooms: Vec<Room>,
+    grants: Vec<(TaskId, Granted)>,
+}
+
 /// One epoch's outcome, to be written before it is published.
 #[derive(Default)]
 pub struct Epoch {
@@ -283,10 +291,14 @@
         let on = self.on_machines();
         self.learn(ctx, &on);
         self.settle(ctx, &on);
-        let mut epoch = Epoch::default();
-        let mut rooms = self.rooms(ctx, &on);
-        self.grant(ctx, &on, &mut rooms, &mut epoch);
-        self.decide_capacity(ctx, &on, &rooms, &epoch);
+        let filling = Filling {
+            used: self.team_use(ctx, &on),
+            rooms: self.rooms(ctx, &on),
+            grants: Vec::new(),
+        };
+        let filling = self.grant(ctx, &on, filling);
+        let mut epoch = Epoch { grants: filling.grants, ..Epoch::default() };
+        self.decide_capacity(ctx, &on, &filling.rooms, &epoch);
         self.compose(ctx, &on, &mut epoch);
         epoch
     }
@@ -675,10 +687,8 @@
         &mut self,
         ctx: &Context<'_>,
         on: &HashMap<TaskId, Seen>,
-        rooms: &mut [Room],
-        epoch: &mut Epoch,
-    ) {
-        let mut used = self.team_use(ctx, on);
+        mut filling: Filling,
+    ) -> Filling {
         let mut counts: HashMap<JobId, (u32, u32)> = HashMap::new(); // (held, in limbo)
         for t in on.keys() {
             counts.entry(t.job).or_default().0 += 1;
@@ -694,7 +704,7 @@
             self.nodes.values().flat_map(|n| n.summary.failing.iter().copied()).collect();
         let demands = self.demands(ctx, &counts, &failing);
         let bounds = Bounds {
-            held: rooms.iter().fold(Cores(0), |sum, r| {
+            held: filling.rooms.iter().fold(Cores(0), |sum, r| {
                 let total = ctx.flavors.get(&r.hull).map_or(Cores(0), |f| Cores::offer(f.vcpus));
                 Cores(sum.0 + if r.open { total.0 } else { 0 })
             }),
@@ -730,15 +740,15 @@
                 self.waits.entry(d.job).or_insert(Waits::ForMachines);
             }
             if job.spec.shape == Shape::Gang {
-                self.grant_gang(ctx, on, job, d.team, more, &mut used, rooms, epoch);
+                filling = self.grant_gang(ctx, on, job, d.team, more, filling);
             } else {
-                self.grant_job(ctx, on, job, d.team, more, &mut used, rooms, epoch);
+                self.grant_job(ctx, on, job, d.team, more, &mut filling);
             }
         }
+        filling
     }
 
     /// Grants a gang whole or not at all.
-    #[allow(clippy::too_many_arguments)]
     fn grant_gang(
         &mut self,
         ctx: &Context<'_>,
@@ -746,31 +756,28 @@
         job: &Job,
         team: usize,
         more: usize,
-        used: &mut Vec<(Cores, Cores)>,
-        rooms: &mut [Room],
-        epoch: &mut Epoch,
-    ) {
+        filling: Filling,
+    ) -> Filling {
         if more < job.remaining() as usize {
-            return;
+            return filling;
         }
-        let (rooms_before, used_before, before) =
-            (rooms.to_vec(), used.clone(), epoch.grants.len());
-        self.grant_job(ctx, on, job, team, more, used, rooms, epoch);
-        if epoch.grants.len() - before < more {
-            epoch.grants.truncate(before);
-            rooms.clone_from_slice(&rooms_before);
-            *used = used_before;
+        let before = filling.grants.len();
+        let mut tried = filling.clone();
+        self.grant_job(ctx, on, job, team, more, &mut tried);
+        if tried.grants.len() - before < more {
             self.waits.entry(job.spec.r#ref).or_insert(Waits::ForMachines);
-            return;
+            return filling;
         }
         // The tasks of a gang know each other by their attempt.
         let attempt = self.attempts.give();
-        for (_, g) in &mut epoch.grants[before..] {
+        for (_, g) in &mut tried.grants[before..] {
             g.attempt = Some(attempt);
         }
+        tried
     }
 
-    #[allow(clippy::too_many_arguments)]
+    /// Grants up to `more` tasks of a job, as far as its team's limit, its zones and the
+    /// machines allow.
     fn grant_job(
         &mut self,
         ctx: &Context<'_>,
@@ -778,10 +785,9 @@
         job: &Job,
         team: usize,
         more: usize,
-        used: &mut [(Cores, Cores)],
-        rooms: &mut [Room],
-        epoch: &mut Epoch,
+        filling: &mut Filling,
     ) {
+        let Filling { used, rooms, grants } = filling;
         let id = job.spec.r#ref;
         let need = Need::of(&job.spec);
         let mut zones = ZoneRule::of(&job.spec);
@@ -845,7 +851,7 @@
             if let Some(u) = used.get_mut(team) {
                 *u = after;
             }
-            epoch.grants.push((task, Granted { node, attempt: None, at: ctx.now, zone }));
+            grants.push((task, Granted { node, attempt: None, at: ctx.now, zone }));
         }
     }
 
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -21,44 +21,10 @@
 const STEP: u64 = 20;
 const BACK_MS: u64 = 3_000;
 const CANCEL_MS: u64 = 30_000;
-const TEAM_LIMIT: u64 = 24;
+const TEAM_LIMIT: u64 = 32;
 const ZONES: [&str; 2] = ["a", "b"];
 
-const SETTINGS: &str = r#"
-node_name = "host-0"
-site = "a"
-api_addr = "10.0.0.1:8080"
-back = "10.0.0.1:8081"
-[[known]]
-node_name = "host-1"
-site = "b"
-address = "10.0.0.2:8081"
-[[known]]
-node_name = "host-2"
-site = "a"
-address = "10.0.0.3:8081"
-[outside]
-cloud = "10.2.0.2:8443"
-state = "10.2.0.1:2379"
-[params]
-nodes = 3
-zones = ["a", "b"]
-[[params.teams]]
-name = "red"
-cpus_max = 24.0
-[params.workers]
-report_s = 1.0
-lease_s = 10.0
-cancel_s = 30.0
-[params.state]
-rps = 200.0
-write_rps = 80.0
-value_kb = 8.0
-txn_ops = 12
-[params.cloud]
-rps = 8.0
-list_lag_s = 6.0
-"#;
+const SETTINGS: &str = include_str!("../settings.toml");
 
 /// A failure, for so many milliseconds where it lasts.
 #[derive(Clone, Copy, Debug)]
