--- a/src/service.rs
+++ b/src/service.rs
@@ -29,11 +29,11 @@
 /// Longest wait between two epochs; arrivals and reports bring them sooner.
 const EPOCH: Duration = Duration::from_millis(1_000);
 /// Shortest time between two epochs.
-const EPOCH_LEAST: Duration = Duration::from_millis(150);
+const EPOCH_LEAST: Duration = Duration::from_millis(60);
 /// Longest wait between two summaries of a part; news bring them sooner.
-const SUMMARY: Duration = Duration::from_millis(300);
+const SUMMARY: Duration = Duration::from_millis(200);
 /// Shortest time between two summaries.
-const SUMMARY_LEAST: Duration = Duration::from_millis(100);
+const SUMMARY_LEAST: Duration = Duration::from_millis(50);
 /// Time between two messages through the store.
 const RELAY: Duration = Duration::from_millis(600);
 
