--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -81,7 +81,7 @@
 /// What of the peak of urgent brief work is kept ready on spot machines and on any, and how
 /// much of the mean of all brief work.
 const READY_SPOT: f64 = 1.0;
-const READY_ANY: f64 = 0.8;
+const READY_ANY: f64 = 0.5;
 const READY_MEAN: f64 = 1.1;
 
 /// The decision.
