--- a/src/wire.rs
+++ b/src/wire.rs
@@ -30,8 +30,11 @@
 /// Decodes one CBOR message. Trailing bytes are refused.
 pub fn decode<T: de::DeserializeOwned>(body: &[u8]) -> Result<T, BadBody> {
     let mut rest = body;
-    let value = ciborium::de::from_reader_with_recursion_limit(&mut rest, 32)
-        .map_err(|e| BadBody(e.to_string()))?;
+    let value =
+        ciborium::de::from_reader_with_recursion_limit(&mut rest, 32).map_err(|e| match e {
+            ciborium::de::Error::Semantic(_, why) => BadBody(why),
+            _ => BadBody("not CBOR".into()),
+        })?;
     if rest.is_empty() {
         Ok(value)
     } else {
