--- a/src/api.rs
+++ b/src/api.rs
@@ -1,5 +1,6 @@
 //! The interface for users, workers and health checks.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use tokio::time::{Instant, timeout_at};
@@ -15,6 +16,22 @@
 /// Most user requests served at a time; more are told to come back.
 const MOST_AT_ONCE: usize = 256;
 
+/// A request that counts as being served for as long as this lives, however it ends.
+struct Served<'a>(&'a Cell<usize>);
+
+impl<'a> Served<'a> {
+    fn one(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Served(count)
+    }
+}
+
+impl Drop for Served<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
 /// Whether a job can ever run, as far as its team and the machine types tell.
 #[derive(Debug, PartialEq, Eq)]
 enum Fitness {
@@ -36,10 +53,8 @@
         if self.serving.get() >= MOST_AT_ONCE {
             return Response::later(1);
         }
-        self.serving.set(self.serving.get() + 1);
-        let response = self.answer_user(path, &request).await;
-        self.serving.set(self.serving.get() - 1);
-        response
+        let _served = Served::one(&self.serving);
+        self.answer_user(path, &request).await
     }
 
     async fn answer_user(&self, path: &str, request: &Request) -> Response {
@@ -102,9 +117,9 @@
     /// Hands a request over to controllers that may reach the store; the first useful answer
     /// counts. If there is none, the user is told at once to come back.
     async fn hand_over(&self, ask: Ask) -> Response {
-        let deadline = Instant::now() + Duration::from_millis(1_200);
+        let deadline = Instant::now() + Duration::from_millis(900);
         for node in self.others() {
-            let told = timeout_at(deadline, self.ask(node, &ask, 700)).await;
+            let told = timeout_at(deadline, self.ask(node, &ask, 450)).await;
             if let Ok(Some(Tell::Answer(status, body))) = told
                 && status != 503
             {
@@ -242,7 +257,12 @@
             return self.final_answer(id);
         }
         match self.store.get(&crate::ledger::job_key(id)).await.ok()? {
-            Some(_) => None, // Came just now; the replica will have it in a moment.
+            // Came just now, or was missed: an accepted job stays known whatever went wrong.
+            Some(item) => {
+                let mut brought = crate::ledger::Brought::default();
+                self.core.borrow_mut().ledger.load(&item, &mut brought);
+                self.open_answer(id)
+            }
             None => Some(Response::empty(404)),
         }
     }
@@ -250,8 +270,7 @@
     fn open_answer(&self, id: JobId) -> Option<Response> {
         let core = self.core.borrow();
         let job = core.ledger.jobs.get(&id)?;
-        let standing =
-            core.part.plan().and_then(|p| p.standings.iter().find(|s| s.job == id).copied());
+        let standing = core.part.standing(id);
         let done = job.progress.done.len();
         let running = standing.map_or(0, |s| s.running).min(job.spec.pieces - done);
         let stage = if running > 0 { JobStage::Running } else { JobStage::Pending };
--- a/src/core.rs
+++ b/src/core.rs
@@ -1,6 +1,7 @@
 //! What a controller knows and decides, without any connection: the service's loops bring
 //! answers in and carry transactions and messages out. Tests drive the same code.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use tracing::info;
@@ -8,13 +9,18 @@
 use crate::config::{NodeInfo, Settings};
 use crate::lead::{Context, Epoch, Lead};
 use crate::ledger::{self, Brought, LeadRecord, Ledger, MemberRecord, TermRecord};
-use crate::model::{Incarnation, NodeId, Revision, Steady, StoreLease, Term, Wall};
-use crate::part::{Part, ReportAnswer, Surroundings};
+use crate::model::{Incarnation, JobId, NodeId, Revision, Steady, StoreLease, Term, Wall};
+use crate::part::{Finished, Part, ReportAnswer, Surroundings};
 use crate::peer::{Plan, Summary, Tell};
 use crate::place::Flavors;
 use crate::term::Rights;
 use crate::wire::{self, Change, Changes, Guard, Item, Report, Txn};
 
+/// Time over which the completions of a job that goes on are gathered.
+const GATHER_MS: u64 = 1_200;
+/// Time that the leader has to write what other nodes tell it of.
+const LEFT_TO_LEADER_MS: u64 = 3_000;
+
 /// A moment by both clocks.
 #[derive(Clone, Copy, Debug)]
 pub struct Moment {
@@ -56,6 +62,7 @@
     ledger: &'a Ledger,
     rights: &Rights,
     flavors: &'a Flavors,
+    finished: &'a BTreeMap<JobId, Finished>,
     now: Moment,
 ) -> Context<'a> {
     Context {
@@ -64,6 +71,7 @@
         ledger,
         synced: rights.synced_at().unwrap_or_default(),
         flavors,
+        finished,
         settings,
         nodes,
     }
@@ -94,8 +102,15 @@
         now: Moment,
         act: impl FnOnce(&mut Lead, &Context<'_>) -> T,
     ) -> Option<T> {
-        let ctx =
-            context(&self.settings, &self.nodes, &self.ledger, &self.rights, &self.flavors, now);
+        let ctx = context(
+            &self.settings,
+            &self.nodes,
+            &self.ledger,
+            &self.rights,
+            &self.flavors,
+            &self.part.finished,
+            now,
+        );
         self.lead.as_mut().map(|lead| act(lead, &ctx))
     }
 
@@ -177,6 +192,7 @@
                     &self.ledger,
                     &self.rights,
                     &self.flavors,
+                    &self.part.finished,
                     now,
                 );
                 self.lead = Some(Lead::begin(&ctx, term, before));
@@ -242,6 +258,8 @@
             ledger: &self.ledger,
             flavors: &self.flavors,
             nodes: &self.nodes,
+            lease_ms: self.settings.worker_lease_ms(),
+            report_s: self.settings.params.workers.report_s,
         };
         self.part.on_report(&env, report)
     }
@@ -253,9 +271,21 @@
         let Some(lead) = &mut self.lead else {
             return (Tell::NotLeading(term), false);
         };
-        match lead.on_summary(now, summary) {
-            (Some(plan), changed) => (Tell::Plan(Box::new(plan)), changed),
-            (None, changed) => (Tell::NotLeading(term), changed),
+        if summary.node != self.me {
+            self.part.take_finished(now, &self.ledger, &summary.finished);
+        }
+        lead.on_summary(now, summary)
+    }
+
+    /// Follows the leader's answer to a summary; says whether it brought a new plan.
+    pub fn take_answer(&mut self, tell: Tell) -> bool {
+        match tell {
+            Tell::Plan(plan) => self.part.follow(*plan),
+            Tell::SendWhole => {
+                self.part.send_whole();
+                false
+            }
+            _ => false,
         }
     }
 
@@ -282,20 +312,39 @@
         Some((plan, self.ledger.lead_guard()?))
     }
 
-    /// The transaction that makes finished tasks durable, if there are any.
-    pub fn finished_txn(&mut self) -> Option<Txn> {
+    /// The transaction that makes finished tasks durable, if there are any to be written now.
+    /// The leader writes for all, so that nodes do not get in each other's way; the others
+    /// only do when it takes too long. A job that ends is written at once, others after a
+    /// while for all tasks that completed meanwhile.
+    pub fn finished_txn(&mut self, now: Steady) -> Option<Txn> {
         if !self.loaded {
             return None;
         }
         self.part.tidy(&self.ledger);
-        let mut txn = Txn::default();
-        for (id, tasks) in &self.part.finished {
-            if txn.apply.len() >= self.settings.params.state.txn_ops {
-                break;
-            }
+        let leads = self.lead.is_some();
+        let mut due: Vec<(bool, Steady, JobId)> = Vec::new();
+        for (id, f) in &self.part.finished {
             let Some(job) = self.ledger.jobs.get(id) else { continue };
-            let Some(progress) = Ledger::with_done(job, tasks.iter().copied()) else { continue };
-            let path = ledger::progress_key(*id);
+            let ends = job.remaining() <= f.tasks.len();
+            let wait = match (leads, ends) {
+                (true, true) => 0,
+                (true, false) => GATHER_MS,
+                (false, _) => LEFT_TO_LEADER_MS,
+            };
+            if now.since(f.since) >= wait {
+                due.push((!ends, f.since, *id));
+            }
+        }
+        due.sort();
+        let mut txn = Txn::default();
+        for (_, _, id) in due.into_iter().take(self.settings.params.state.txn_ops) {
+            let (Some(job), Some(f)) = (self.ledger.jobs.get(&id), self.part.finished.get_mut(&id))
+            else {
+                continue;
+            };
+            f.since = now;
+            let Some(progress) = Ledger::with_done(job, f.tasks.iter()) else { continue };
+            let path = ledger::progress_key(id);
             txn.guards.push(Guard { path: path.clone(), stamp: job.progress_stamp });
             txn.apply.push(Change::Set { path, value: wire::to_value(&progress), lease: None });
         }
@@ -303,7 +352,7 @@
     }
 
     /// The transaction that cancels a job, if it has not ended.
-    pub fn cancel_txn(&self, id: crate::model::JobId) -> Option<Txn> {
+    pub fn cancel_txn(&self, id: JobId) -> Option<Txn> {
         let job = self.ledger.jobs.get(&id)?;
         let progress = ledger::Progress {
             end: Some(wire::JobStage::Withdrawn),
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,613 @@
+//! The machines as the leader knows them: who owns them, what their owners tell of them, and
+//! the proofs that a machine, or what was on it, is gone.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+
+use rustc_hash::FxHashMap;
+
+use crate::capacity::Offer;
+use crate::lead::Context;
+use crate::model::{Incarnation, MachineId, NodeId, PlanSeq, Session, Steady, TaskId};
+use crate::peer::{MachineView, OwnerNews, Summary};
+use crate::place::{Room, SILENT_MS};
+use crate::term::{last_right, plus_drift};
+use crate::wire::{self, PieceStage};
+
+/// A controller that has not been heard for that long is taken as lost.
+pub const NODE_LOST_MS: u64 = 3_000;
+/// How long a stray must have been unable to reach its owner before it is moved.
+const STRAY_MS: u64 = 2_500;
+/// The same when it is one of a few, which may be at fault themselves: moving it costs a term.
+const FEW_STRAYS_MS: u64 = 12_000;
+/// Time within which a machine must lose its session twice to be taken for one that is not
+/// worth keeping.
+const LOSING_MS: u64 = 60_000;
+/// Removed machines of which parts are told, before they are told all owners anew.
+const GONE_TOLD: usize = 400;
+
+/// What a controller told last.
+pub struct NodeState {
+    /// The life of its process.
+    pub life: Incarnation,
+    /// Its last summary's number.
+    pub number: u64,
+    /// The plan that it follows.
+    pub followed: PlanSeq,
+    /// The leader's clock that it echoed.
+    pub echo_ms: u64,
+    /// How long its process had been up.
+    pub up_ms: u64,
+    /// When that was heard.
+    pub at: Steady,
+    /// Jobs that fail wherever it tries them.
+    pub failing: Vec<u64>,
+    strays: Vec<crate::peer::Stray>,
+    machines: BTreeMap<MachineId, Known>,
+}
+
+/// A machine as its owner told of it.
+struct Known {
+    view: MachineView,
+    shun_until: Steady,
+    /// When it last reported to its owner.
+    heard: Steady,
+}
+
+/// What is known of a machine besides its reports.
+#[derive(Clone, Debug)]
+pub struct FleetMachine {
+    /// What it is.
+    pub offer: Offer,
+    /// When it was rented, as far as known.
+    pub since: Steady,
+    /// Whether it has reported.
+    pub up: bool,
+    /// When something last ran on it.
+    pub busy: Steady,
+    /// The plan from which on it takes nothing new.
+    pub draining: Option<PlanSeq>,
+    /// Whether the cloud says that it stopped by itself.
+    pub failed: bool,
+    session: Session,
+    lost_session: Option<Steady>,
+    /// It lost its session twice in a short time.
+    pub losing: bool,
+}
+
+/// A task that is on a machine.
+#[derive(Clone, Copy)]
+pub struct Seen<'a> {
+    /// The machine.
+    pub machine: &'a MachineView,
+    /// Its state there.
+    pub stage: PieceStage,
+}
+
+/// Tasks on settled machines.
+pub type OnMachines<'a> = FxHashMap<TaskId, Seen<'a>>;
+
+/// What became of a summary.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// It was taken; whether it tells anything that an epoch should look at.
+    Yes(bool),
+    /// It is late.
+    Late,
+    /// It adds to one that is not known.
+    Gap,
+    /// It comes from a new life of a controller that was counted with.
+    NewLife,
+}
+
+/// The machines in one term.
+pub struct Fleet {
+    began: Steady,
+    /// What controllers told in this term.
+    pub nodes: BTreeMap<NodeId, NodeState>,
+    /// Owner of each machine, and the first plan that names it.
+    pub owners: BTreeMap<MachineId, (NodeId, PlanSeq)>,
+    removed: Vec<(MachineId, PlanSeq)>,
+    /// Machines that may still take or run what earlier terms ordered.
+    pub unsettled: BTreeSet<MachineId>,
+    /// Machines that the cloud confirmed to be gone.
+    pub gone: HashSet<MachineId>,
+    heard: HashMap<MachineId, Steady>,
+    absent: HashMap<NodeId, (u64, Steady)>,
+    /// All machines that are held.
+    pub machines: BTreeMap<MachineId, FleetMachine>,
+}
+
+impl Fleet {
+    /// Begins a term. What was known of machines stays; what was told of tasks does not.
+    pub fn begin(ctx: &Context<'_>, before: Option<Fleet>) -> Self {
+        let mut fleet = Fleet {
+            began: ctx.now,
+            nodes: BTreeMap::new(),
+            owners: BTreeMap::new(),
+            removed: Vec::new(),
+            unsettled: BTreeSet::new(),
+            gone: HashSet::new(),
+            heard: HashMap::new(),
+            absent: HashMap::new(),
+            machines: BTreeMap::new(),
+        };
+        if let Some(old) = before {
+            fleet.gone = old.gone;
+            fleet.heard = old.heard;
+            fleet.absent = old.absent;
+            fleet.machines = old.machines;
+            for m in fleet.machines.values_mut() {
+                m.draining = m.draining.map(|_| PlanSeq(1));
+            }
+        }
+        let may_hold = ctx
+            .ledger
+            .machines
+            .iter()
+            .filter(|(id, m)| m.up && m.gone.is_none() && !fleet.gone.contains(*id));
+        fleet.unsettled = may_hold.map(|(id, _)| id.clone()).collect();
+        // Machines count as heard now: a verdict of silence needs a whole lease from here.
+        for id in &fleet.unsettled {
+            fleet.heard.insert(id.clone(), ctx.now);
+        }
+        fleet
+    }
+
+    /// Takes a summary.
+    pub fn on_summary(&mut self, now: Steady, s: Summary) -> Taken {
+        match self.nodes.get(&s.node) {
+            // Its predecessor may have started tasks that nobody knows of.
+            Some(known) if known.life != s.life => return Taken::NewLife,
+            Some(known) if s.number <= known.number => return Taken::Late,
+            Some(known) if s.base > known.number => return Taken::Gap,
+            None if s.base > 0 => return Taken::Gap,
+            _ => {}
+        }
+        let state = self.nodes.entry(s.node).or_insert_with(|| NodeState {
+            life: s.life,
+            number: 0,
+            followed: PlanSeq(0),
+            echo_ms: 0,
+            up_ms: 0,
+            at: now,
+            failing: Vec::new(),
+            strays: Vec::new(),
+            machines: BTreeMap::new(),
+        });
+        let mut changed = state.strays.len() != s.strays.len() || !s.machines.is_empty();
+        changed |= state.followed != s.followed;
+        if s.base == 0 {
+            state.machines.clear();
+        }
+        state.number = s.number;
+        state.followed = s.followed;
+        state.echo_ms = s.echo_ms;
+        state.up_ms = s.up_ms;
+        state.at = now;
+        state.failing = s.failing;
+        state.strays = s.strays;
+        for view in s.machines {
+            let shun_until = now.plus(view.shun_ms);
+            let heard = state.machines.get(&view.id).map_or(Steady(0), |k| k.heard);
+            state.machines.insert(view.id.clone(), Known { view, shun_until, heard });
+        }
+        for (id, age) in &s.answered {
+            let at = now.less(*age);
+            if let Some(known) = state.machines.get_mut(id) {
+                known.heard = known.heard.max(at);
+            }
+            match self.heard.get_mut(id) {
+                Some(heard) => *heard = (*heard).max(at),
+                None => {
+                    self.heard.insert(id.clone(), at);
+                }
+            }
+        }
+        let state = &self.nodes[&s.node];
+        if !self.unsettled.is_empty() {
+            let settled: Vec<MachineId> = state
+                .machines
+                .values()
+                .filter(|k| k.view.settled && self.tells(s.node, state, &k.view.id))
+                .map(|k| k.view.id.clone())
+                .collect();
+            for id in settled {
+                self.unsettled.remove(&id);
+            }
+        }
+        Taken::Yes(changed)
+    }
+
+    /// Controllers that are heard.
+    pub fn live(&self, now: Steady) -> Vec<NodeId> {
+        let heard = self.nodes.iter().filter(|(_, n)| now.since(n.at) < NODE_LOST_MS);
+        heard.map(|(id, _)| *id).collect()
+    }
+
+    /// Whether a controller speaks for a machine: it owns it and follows a plan of this term
+    /// that says so. What it remembers from an earlier term may be missing in its next
+    /// summary without having ended.
+    fn tells(&self, node: NodeId, state: &NodeState, id: &MachineId) -> bool {
+        self.owners.get(id).is_some_and(|(owner, since)| *owner == node && state.followed >= *since)
+            && !self.gone.contains(id)
+    }
+
+    fn known(&self) -> impl Iterator<Item = (&Known, NodeId, &NodeState)> {
+        self.nodes.iter().flat_map(move |(node, n)| {
+            let told = n.machines.values();
+            told.filter(move |k| self.tells(*node, n, &k.view.id)).map(move |k| (k, *node, n))
+        })
+    }
+
+    /// Machine views from owners, as they last told.
+    pub fn views(&self) -> impl Iterator<Item = &MachineView> {
+        self.known().map(|(k, _, _)| &k.view)
+    }
+
+    /// Where tasks are. Only a machine that reported with this term's token tells that: what
+    /// is known of others may have ended and been started elsewhere since.
+    pub fn on_machines(&self) -> OnMachines<'_> {
+        let mut on = OnMachines::default();
+        for (k, _, _) in self.known().filter(|(k, _, _)| k.view.settled) {
+            for t in &k.view.tasks {
+                on.insert(t.task, Seen { machine: &k.view, stage: t.stage });
+            }
+        }
+        on
+    }
+
+    /// Machines as placement sees them.
+    pub fn rooms(&self, ctx: &Context<'_>) -> Vec<Room> {
+        self.known()
+            .filter_map(|(k, _, n)| {
+                let m = self.machines.get(&k.view.id)?;
+                let v = &k.view;
+                let open = ctx.now.since(n.at) < NODE_LOST_MS
+                    && ctx.now.since(k.heard) < SILENT_MS
+                    && m.draining.is_none()
+                    && v.settled
+                    && !v.leaving
+                    && k.shun_until <= ctx.now;
+                let tasks = v.tasks.iter().map(|t| (t.task, t.stage));
+                let what = (&v.id, &v.hull, &v.zone, v.spot);
+                Room::of(what, tasks, &v.images, ctx.flavors, ctx.ledger, open)
+            })
+            .collect()
+    }
+
+    /// Follows which controllers are members.
+    pub fn follow_members(&mut self, ctx: &Context<'_>) {
+        for n in 0..ctx.nodes.len() {
+            let id = NodeId(n as u8);
+            if ctx.ledger.members.contains_key(&id) {
+                self.absent.remove(&id);
+            } else {
+                let moves = ctx.ledger.member_moves.get(&id).copied().unwrap_or(0);
+                let absent = self.absent.entry(id).or_insert((moves, ctx.now));
+                // It came and went unseen: its last renewal may be that much younger.
+                if absent.0 != moves {
+                    *absent = (moves, ctx.now);
+                }
+            }
+        }
+    }
+
+    /// Why a new term is needed, if one is: an owner is lost, or machines cannot reach theirs.
+    pub fn wants_new_term(&self, now: Steady) -> Option<&'static str> {
+        if now.since(self.began) < NODE_LOST_MS {
+            return None;
+        }
+        let live = self.live(now);
+        if self.owners.values().any(|(o, _)| !live.contains(o)) {
+            return Some("the owner of machines is not heard");
+        }
+        let all_strays = self
+            .nodes
+            .iter()
+            .filter(|(id, _)| live.contains(id))
+            .flat_map(|(node, n)| n.strays.iter().map(move |s| (node, s)));
+        let (mut some, mut long) = (0, false);
+        for (node, s) in all_strays {
+            if s.since_ms > STRAY_MS
+                && s.silent_ms < 3_000
+                && self.owners.get(&s.id).is_some_and(|(o, _)| o != node)
+                && !self.owner_hears(now, &s.id)
+            {
+                some += 1;
+                long |= s.since_ms > FEW_STRAYS_MS;
+            }
+        }
+        (some > self.owners.len() / 20 || long).then_some("machines cannot reach their owner")
+    }
+
+    fn owner_hears(&self, now: Steady, id: &MachineId) -> bool {
+        self.known().any(|(k, _, _)| k.view.id == *id && now.since(k.heard) < STRAY_MS)
+    }
+
+    fn zone_of<'a>(&'a self, ctx: &'a Context<'_>, id: &MachineId) -> Option<&'a str> {
+        let held = self.machines.get(id).map(|m| m.offer.zone.as_str());
+        held.or_else(|| ctx.ledger.machines.get(id).map(|m| m.zone.as_str()))
+    }
+
+    /// The owner of a machine among live controllers: those of its zone if one is up, else
+    /// all; the highest hash wins.
+    pub fn owner_for(&self, ctx: &Context<'_>, id: &MachineId, live: &[NodeId]) -> Option<NodeId> {
+        let zone = self.zone_of(ctx, id);
+        let near: Vec<NodeId> = live
+            .iter()
+            .copied()
+            .filter(|n| zone == ctx.nodes.get(usize::from(n.0)).map(|n| n.zone.as_str()))
+            .collect();
+        let pool = if near.is_empty() { live } else { &near };
+        pool.iter().copied().max_by_key(|n| rendezvous(id, *n))
+    }
+
+    /// Gives every machine without an owner one; `next` is the plan that will say so.
+    pub fn assign(&mut self, ctx: &Context<'_>, next: PlanSeq) {
+        let now = ctx.now;
+        let live = self.live(now);
+        let expected = ctx.ledger.members.len().min(ctx.nodes.len());
+        if live.is_empty() || (live.len() < expected && now.since(self.began) < 1_000) {
+            return;
+        }
+        let mut strays: HashMap<MachineId, NodeId> = HashMap::new();
+        let mut found: Vec<(MachineId, Offer)> = Vec::new();
+        for (node, n) in self.nodes.iter().filter(|(id, _)| live.contains(id)) {
+            for s in n.strays.iter().filter(|s| s.silent_ms < 5_000) {
+                let offer = Offer { hull: s.hull.clone(), zone: s.zone.clone(), spot: s.spot };
+                found.push((s.id.clone(), offer));
+                if s.since_ms > STRAY_MS {
+                    strays.insert(s.id.clone(), *node);
+                }
+            }
+        }
+        for (id, offer) in found {
+            if !self.is_gone(ctx, &id) {
+                self.note_machine(now, &id, offer);
+            }
+        }
+        for (id, m) in &ctx.ledger.machines {
+            if m.gone.is_none() && !self.machines.contains_key(id) && !self.gone.contains(id) {
+                let offer = Offer { hull: m.hull.clone(), zone: m.zone.clone(), spot: m.spot };
+                self.note_machine(now, id, offer);
+            }
+        }
+        let open: Vec<MachineId> = self
+            .machines
+            .keys()
+            .filter(|id| !self.owners.contains_key(*id) && !self.gone.contains(*id))
+            .cloned()
+            .collect();
+        for id in open {
+            let owner = strays.get(&id).copied().or_else(|| self.owner_for(ctx, &id, &live));
+            if let Some(owner) = owner {
+                self.owners.insert(id, (owner, next));
+            }
+        }
+    }
+
+    /// Owners as a part has to be told that follows that plan.
+    pub fn owner_news(&self, followed: PlanSeq) -> OwnerNews {
+        let lost =
+            self.removed.first().is_some_and(|r| r.1 > followed) && self.removed.len() >= GONE_TOLD;
+        let base = if lost { PlanSeq(0) } else { followed };
+        OwnerNews {
+            base,
+            set: self
+                .owners
+                .iter()
+                .filter(|(_, (_, since))| *since > base || base == PlanSeq(0))
+                .map(|(id, (owner, _))| (id.clone(), *owner))
+                .collect(),
+            gone: self
+                .removed
+                .iter()
+                .filter(|(_, since)| base > PlanSeq(0) && *since > base)
+                .map(|(id, _)| id.clone())
+                .collect(),
+        }
+    }
+
+    /// The newest plan that owners need.
+    pub fn newest(&self) -> PlanSeq {
+        let set = self.owners.values().map(|o| o.1);
+        set.chain(self.removed.iter().map(|r| r.1)).max().unwrap_or_default()
+    }
+
+    fn is_gone(&self, ctx: &Context<'_>, id: &MachineId) -> bool {
+        self.gone.contains(id) || ctx.ledger.machine_gone(id)
+    }
+
+    fn note_machine(&mut self, now: Steady, id: &MachineId, offer: Offer) {
+        if self.machines.contains_key(id) {
+            return;
+        }
+        self.heard.entry(id.clone()).or_insert(now);
+        let machine = FleetMachine {
+            offer,
+            since: now,
+            up: false,
+            busy: now,
+            draining: None,
+            failed: false,
+            session: Session(0),
+            lost_session: None,
+            losing: false,
+        };
+        self.machines.insert(id.clone(), machine);
+    }
+
+    /// Takes machines that a rental brought or the cloud listed.
+    pub fn rented(&mut self, now: Steady, ids: &[MachineId], offer: &Offer) {
+        for id in ids {
+            if !self.gone.contains(id) {
+                self.note_machine(now, id, offer.clone());
+            }
+        }
+    }
+
+    /// Takes what the cloud's list says of a machine. The list is old: it only adds machines
+    /// and tells of failed ones.
+    pub fn listed(&mut self, ctx: &Context<'_>, host: &wire::ListedHost) {
+        if self.is_gone(ctx, &host.r#ref) {
+            return;
+        }
+        let offer = Offer { hull: host.hull.clone(), zone: host.yard.clone(), spot: host.loaners };
+        let age = (host.held_s.max(0.0) * 1000.0) as u64;
+        self.note_machine(ctx.now, &host.r#ref, offer);
+        if let Some(m) = self.machines.get_mut(&host.r#ref) {
+            m.since = m.since.min(ctx.now.less(age));
+            m.failed |= host.stage == wire::HostStage::Failed;
+        }
+    }
+
+    /// The cloud confirmed that these machines and all on them are gone; `next` is the plan
+    /// that will say so.
+    pub fn machines_gone(&mut self, ids: &[MachineId], next: PlanSeq) {
+        for id in ids {
+            self.gone.insert(id.clone());
+            if self.owners.remove(id).is_some() {
+                self.removed.push((id.clone(), next));
+            }
+            if self.removed.len() > GONE_TOLD {
+                self.removed.remove(0);
+            }
+            self.unsettled.remove(id);
+            self.machines.remove(id);
+            self.heard.remove(id);
+        }
+    }
+
+    /// Learns from reports whether machines are up, busy, and able to keep their sessions.
+    pub fn learn(&mut self, now: Steady) {
+        let mut machines = std::mem::take(&mut self.machines);
+        for (k, _, _) in self.known() {
+            let Some(m) = machines.get_mut(&k.view.id) else { continue };
+            if !m.up || !k.view.tasks.is_empty() {
+                m.busy = now;
+            }
+            m.up = true;
+            if k.view.session > m.session {
+                if m.session > Session(0) {
+                    m.losing |= m.lost_session.is_some_and(|at| now.since(at) < LOSING_MS);
+                    m.lost_session = Some(now);
+                }
+                m.session = k.view.session;
+            }
+        }
+        self.machines = machines;
+    }
+
+    /// Declares machines empty whose lease has certainly run out: every controller says, as of
+    /// a moment a whole lease after the last answer anyone gave, that it gave no later one.
+    pub fn silent_verdicts(&mut self, ctx: &Context<'_>) {
+        if self.unsettled.is_empty() {
+            return;
+        }
+        let lease = plus_drift(ctx.settings.worker_lease_ms()) + 500;
+        let mut told_until = Steady(u64::MAX);
+        let mut last_other = Steady(0);
+        for n in 0..ctx.nodes.len() {
+            let id = NodeId(n as u8);
+            match self.nodes.get(&id) {
+                Some(n) if n.echo_ms > 0 => {
+                    told_until = told_until.min(Steady(n.echo_ms));
+                    // Its predecessor ended before this process started.
+                    last_other = last_other.max(n.at.less(n.up_ms));
+                }
+                _ => match self.absent.get(&id) {
+                    Some((_, since)) => {
+                        told_until = told_until.min(ctx.synced);
+                        let bound = last_right(*since, ctx.settings.keep_alive_ms());
+                        last_other = last_other.max(bound);
+                    }
+                    None => return,
+                },
+            }
+        }
+        let silent: Vec<MachineId> = self
+            .unsettled
+            .iter()
+            .filter(|id| {
+                let last = self.heard.get(*id).copied().unwrap_or(self.began).max(last_other);
+                last.plus(lease) < told_until
+            })
+            .cloned()
+            .collect();
+        for id in silent {
+            tracing::warn!(machine = %id, "lease has run out at every controller");
+            // Its session is over, so nothing of earlier terms runs there; should it come
+            // back, it reports a newer session.
+            self.unsettled.remove(&id);
+        }
+    }
+
+    /// Machines that may be returned now: drained and empty, failed, silent beyond any lease,
+    /// deaf, or never come up. What is on them dies with them, and the cloud's answer proves it.
+    pub fn to_return(&self, ctx: &Context<'_>) -> Vec<MachineId> {
+        let now = ctx.now;
+        let views: HashMap<&MachineId, (&Known, NodeId, &NodeState)> =
+            self.known().map(|(k, id, n)| (&k.view.id, (k, id, n))).collect();
+        let lease = plus_drift(ctx.settings.worker_lease_ms()) + 1_000;
+        // Whoever is up has had a whole lease to report to this term's controllers.
+        let calm = now.since(self.began) > lease;
+        // Whatever an older controller kept alive has had time to come over.
+        let deaf = now.since(self.began) > lease + plus_drift(ctx.settings.keep_alive_ms());
+        let quick = ((ctx.settings.params.workers.report_s * 4_000.0) as u64).clamp(5_000, lease);
+        let well: Vec<NodeId> =
+            self.nodes.keys().copied().filter(|node| self.hears_well(ctx, *node)).collect();
+        let over = |id: &MachineId, m: &FleetMachine| {
+            let startup = ctx.flavors.get(&m.offer.hull).map_or(60.0, |f| f.startup_s);
+            let heard = self.heard.get(id).copied().unwrap_or(self.began);
+            let silent = now.since(heard);
+            if m.failed || (deaf && self.unsettled.contains(id)) {
+                return true;
+            }
+            match views.get(id) {
+                Some((k, node, n)) => {
+                    let drained = m.draining.is_some_and(|s| n.followed >= s)
+                        && k.view.tasks.is_empty()
+                        && k.view.settled
+                        && !self.unsettled.contains(id);
+                    let limit = if well.contains(node) { quick } else { lease };
+                    drained || (calm && (silent > limit || m.losing))
+                }
+                None => {
+                    let never = (startup * 4_000.0).max(90_000.0) as u64;
+                    if m.up || ctx.ledger.machine_known(id) && now.since(m.since) > never {
+                        calm && silent > lease
+                    } else {
+                        now.since(m.since) > never && silent > lease
+                    }
+                }
+            }
+        };
+        self.machines
+            .iter()
+            .filter(|(id, m)| over(id, m))
+            .map(|(id, _)| id.clone())
+            .take(100)
+            .collect()
+    }
+
+    /// Whether silence of a machine can only be its own: all controllers are heard, none of
+    /// them restarted lately, and its owner hears others. A machine that is merely cut off
+    /// for longer would lose its tasks with its lease anyway.
+    fn hears_well(&self, ctx: &Context<'_>, owner: NodeId) -> bool {
+        let settled_ms = plus_drift(ctx.settings.worker_lease_ms()) + 5_000;
+        self.nodes.len() == ctx.nodes.len()
+            && self.nodes.values().all(|n| ctx.now.since(n.at) < 1_000 && n.up_ms > settled_ms)
+            && self.known().any(|(k, node, _)| node == owner && ctx.now.since(k.heard) < 2_000)
+    }
+}
+
+/// Highest-random-weight hashing of a machine over controllers.
+fn rendezvous(id: &MachineId, node: NodeId) -> u64 {
+    let mut h: u64 = 0xcbf2_9ce4_8422_2325;
+    for b in id.0.bytes().chain([b'#', node.0]) {
+        h = (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3);
+    }
+    h ^= h >> 33;
+    h = h.wrapping_mul(0xff51_afd7_ed55_8ccd);
+    h ^ (h >> 29)
+}
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -1,20 +1,27 @@
 //! The durable facts as this controller knows them: a replica of the state service.
 //!
 //! Keys: `j/<job>` the job as accepted (never changed), `d/<job>` its finished ranges and its
-//! end (cancelled or done), `lead` and `n/<node>` (on leases), `term`, `m/<machine>` every
+//! end (cancelled or done), `lead` and `n/<node>` (on leases), `term`, `m/<group>` every
 //! machine that may be given tasks, `e/<n>` the task ranges that the last epochs granted,
 //! `flavors` the machine types,
 //! `x/<to>/<from>/<n>` messages between controllers that cannot reach each other.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use rustc_hash::FxHashSet;
 
 use serde::{Deserialize, Serialize};
 
 use crate::model::{Incarnation, JobId, MachineId, NodeId, Ranges, Revision, TaskId, Term, Wall};
+use crate::place::Need;
 use crate::wire::{self, Changes, Guard, Item, JobSpec, JobStage, Value};
 
 /// How many ended jobs are kept in memory; older ones are read from the store when asked for.
 const ENDED_KEPT: usize = 100_000;
+/// How many machines share a key.
+const MACHINES_IN_GROUP: u64 = 24;
+/// How many cancelled jobs are remembered for what their tasks may still use.
+const WITHDRAWN_KEPT: usize = 256;
 
 /// A job as it was accepted.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -73,6 +80,24 @@
     pub gone: Option<Wall>,
 }
 
+/// Machines that are written together.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct MachineGroup {
+    /// The machines.
+    pub machines: Vec<(MachineId, MachineRecord)>,
+}
+
+/// What a cancelled job's tasks use as long as they are not gone.
+#[derive(Clone, Debug)]
+pub struct Withdrawn {
+    /// Its team.
+    pub owner: String,
+    /// What each task takes.
+    pub need: Need,
+    /// Tasks that were not done.
+    pub left: u32,
+}
+
 /// The term as a key of its own, which stays when a leader's lease ends.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TermRecord {
@@ -149,7 +174,13 @@
     /// Version of the term's key.
     pub term_stamp: Revision,
     /// Machines that tasks may be on, and those lately gone.
-    pub machines: BTreeMap<MachineId, (MachineRecord, Revision)>,
+    pub machines: BTreeMap<MachineId, MachineRecord>,
+    groups: BTreeMap<u32, (Vec<MachineId>, Revision)>,
+    /// Jobs cancelled last.
+    pub withdrawn: BTreeMap<JobId, Withdrawn>,
+    withdrawn_order: VecDeque<JobId>,
+    /// Whether some of those cancelled lately are not in there.
+    pub withdrawn_forgotten: bool,
     /// Granted ranges by key number.
     pub epochs: BTreeMap<u32, (EpochRecord, Revision)>,
     /// Machine types, as the last leader that asked the cloud wrote them.
@@ -166,9 +197,16 @@
 pub fn progress_key(job: JobId) -> String {
     format!("d/{job}")
 }
-/// The key of a machine.
-pub fn machine_key(machine: &MachineId) -> String {
-    format!("m/{machine}")
+/// The key of a group of machines.
+pub fn machine_key(group: u32) -> String {
+    format!("m/{group:05}")
+}
+/// The group of a machine: those rented together are mostly written together.
+pub fn machine_group(machine: &MachineId) -> u32 {
+    let text = &*machine.0;
+    let digits = text.len() - text.bytes().rev().take_while(u8::is_ascii_digit).count();
+    let number: u64 = text[digits..].parse().unwrap_or(0);
+    (number / MACHINES_IN_GROUP % 100_000) as u32
 }
 /// The key of a controller.
 pub fn member_key(node: NodeId) -> String {
@@ -259,11 +297,8 @@
             "j" => self.put_job(rest, value, brought),
             "d" => self.put_progress(rest, value, stamp, brought),
             "m" => {
-                let id = MachineId::new(rest);
-                if self.machines.get(&id).is_none_or(|m| m.1 < stamp)
-                    && let Some(r) = wire::from_value(value)
-                {
-                    self.machines.insert(id, (r, stamp));
+                if let (Ok(group), Some(r)) = (rest.parse(), wire::from_value(value)) {
+                    self.put_group(group, r, stamp);
                 }
             }
             "n" => {
@@ -293,6 +328,34 @@
         }
     }
 
+    /// Takes a group of machines in place of what it held before.
+    fn put_group(&mut self, group: u32, record: MachineGroup, stamp: Revision) {
+        if self.groups.get(&group).is_some_and(|g| g.1 >= stamp) {
+            return;
+        }
+        let ids = record.machines.iter().map(|(id, _)| id.clone()).collect();
+        if let Some((old, _)) = self.groups.insert(group, (ids, stamp)) {
+            for id in old {
+                self.machines.remove(&id);
+            }
+        }
+        self.machines.extend(record.machines);
+    }
+
+    fn remember_withdrawn(&mut self, spec: &JobSpec, done: u32) {
+        let id = spec.r#ref;
+        let left = spec.pieces.saturating_sub(done);
+        let w = Withdrawn { owner: spec.owner.clone(), need: Need::of(spec), left };
+        if self.withdrawn.insert(id, w).is_none() {
+            self.withdrawn_order.push_back(id);
+        }
+        if self.withdrawn_order.len() > WITHDRAWN_KEPT
+            && let Some(old) = self.withdrawn_order.pop_front()
+        {
+            self.withdrawn.remove(&old);
+        }
+    }
+
     fn relay_part(&self, rest: &str) -> Option<(u8, u32)> {
         let (from, part) = rest.strip_prefix(&self.me)?.split_once('/')?;
         Some((from.parse().ok()?, part.parse().ok()?))
@@ -300,13 +363,19 @@
 
     fn put_job(&mut self, rest: &str, value: &Value, brought: &mut Brought) {
         let Some(id) = JobId::parse(rest) else { return };
-        if self.ended.contains_key(&id) || self.jobs.contains_key(&id) {
+        let end = self.ended.get(&id).copied();
+        let over = matches!(end, Some((JobStage::Done, _))) || self.withdrawn.contains_key(&id);
+        if over || self.jobs.contains_key(&id) {
             return;
         }
         let Some(accepted) = wire::from_value::<Accepted>(value) else {
             tracing::error!(job = %id, "accepted job cannot be read from the store");
             return;
         };
+        if let Some((_, done)) = end {
+            self.remember_withdrawn(&accepted.spec, done);
+            return;
+        }
         let (progress, progress_stamp) = self.orphaned.remove(&id).unwrap_or_default();
         self.jobs
             .insert(id, Job { spec: accepted.spec, at: accepted.at, progress, progress_stamp });
@@ -323,7 +392,11 @@
         }
         b.progress = true;
         if let Some(end) = progress.end {
-            self.jobs.remove(&id);
+            if let Some(job) = self.jobs.remove(&id)
+                && end == JobStage::Withdrawn
+            {
+                self.remember_withdrawn(&job.spec, progress.done.len());
+            }
             self.orphaned.remove(&id);
             if self.ended.len() >= ENDED_KEPT {
                 self.ended.clear();
@@ -352,9 +425,8 @@
         };
         match kind {
             "m" => {
-                let id = MachineId::new(rest);
-                if self.machines.get(&id).is_some_and(|m| m.1 < stamp) {
-                    self.machines.remove(&id);
+                if let Ok(group) = rest.parse() {
+                    self.put_group(group, MachineGroup::default(), stamp);
                 }
             }
             "n" => {
@@ -396,12 +468,12 @@
 
     /// Whether a machine may be given tasks: it is durably known to be up and not gone.
     pub fn machine_known(&self, id: &MachineId) -> bool {
-        self.machines.get(id).is_some_and(|m| m.0.up && m.0.gone.is_none())
+        self.machines.get(id).is_some_and(|m| m.up && m.gone.is_none())
     }
 
     /// Whether a machine is known to be gone.
     pub fn machine_gone(&self, id: &MachineId) -> bool {
-        self.machines.get(id).is_some_and(|m| m.0.gone.is_some())
+        self.machines.get(id).is_some_and(|m| m.gone.is_some())
     }
 
     /// The condition that a node still leads as it did.
@@ -411,8 +483,8 @@
     }
 
     /// Tasks that any earlier epoch granted and that are not done: they may be running.
-    pub fn granted_before(&self) -> HashSet<TaskId> {
-        let mut tasks = HashSet::new();
+    pub fn granted_before(&self) -> FxHashSet<TaskId> {
+        let mut tasks = FxHashSet::default();
         for (record, _) in self.epochs.values() {
             for (job, ranges) in &record.granted {
                 let ids = ranges.iter().map(|index| TaskId { job: *job, index });
--- a/src/model.rs
+++ b/src/model.rs
@@ -235,6 +235,12 @@
         self.0.insert(i, (n, n + 1));
         true
     }
+    /// Adds numbers.
+    pub fn extend(&mut self, numbers: impl Iterator<Item = u32>) {
+        for n in numbers {
+            self.insert(n);
+        }
+    }
     /// How many numbers are in the set.
     pub fn len(&self) -> u32 {
         self.0.iter().map(|r| r.1 - r.0).sum()
--- a/src/part.rs
+++ b/src/part.rs
@@ -4,20 +4,43 @@
 //! only in the response to a report, so the next report either shows the task or proves that
 //! the response was lost. Everything a part knows about a machine comes from its newest report.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::rc::Rc;
+
+use rustc_hash::FxHashSet;
 
 use crate::config::NodeInfo;
 use crate::ledger::Ledger;
 use crate::model::{
-    Attempt, Incarnation, JobId, MachineId, NodeId, PlanSeq, Session, Steady, TaskId, Term,
+    Attempt, Incarnation, JobId, MachineId, NodeId, PlanSeq, Ranges, Session, Steady, TaskId, Term,
 };
-use crate::peer::{Grant, MachineView, Plan, Stray, Summary, TaskView};
-use crate::place::{self, Flavors, Need, Room};
+use crate::peer::{Grant, MachineView, Plan, PlanBody, Stray, Summary, TaskView};
+use crate::place::{self, Flavors, Need, Room, SILENT_MS};
 use crate::term::Attempts;
 use crate::wire::{
     Cause, JobSpec, JobStage, Order, Piece, PieceStage, Report, ReportReply, Urgency,
 };
 
+/// Answers that a machine gets without showing this term's token before it is taken for deaf.
+const DEAF_ANSWERS: u32 = 3;
+/// Least time over which it must have got them.
+const DEAF_MS: u64 = 3_500;
+/// Longest time between two looks at where granted tasks are to start.
+const ASSIGN_MS: u64 = 700;
+/// Shortest time between two such looks that only a report asks for.
+const ASSIGN_LEAST_MS: u64 = 60;
+/// Most machines of which the newest report is remembered.
+const LATEST_KEPT: usize = 8_192;
+
+/// Completed tasks of a job that are not known to be on record yet.
+#[derive(Clone, Debug, Default)]
+pub struct Finished {
+    /// The tasks.
+    pub tasks: Ranges,
+    /// When the first of them was heard of.
+    pub since: Steady,
+}
+
 /// How a report is answered.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ReportAnswer {
@@ -30,49 +53,64 @@
 }
 
 /// A task on a machine or on its way there.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 struct Held {
     attempt: Attempt,
     stage: PieceStage,
-    since: Steady,
+}
+
+/// A task that is to start on a machine with its next report.
+#[derive(Clone, Copy, Debug)]
+struct Queued {
+    task: TaskId,
+    attempt: Option<Attempt>,
 }
 
 /// What is remembered of a machine.
 #[derive(Clone, Debug)]
 struct Machine {
-    hull: String,
-    zone: String,
+    hull: Rc<str>,
+    zone: Rc<str>,
     spot: bool,
     session: Session,
-    tally: u64,
-    baton: Term,
+    settled: bool,
     heard: Steady,
-    warned: Option<Steady>,
+    warned: bool,
     tasks: BTreeMap<TaskId, Held>,
-    images: Vec<(String, f64)>,
+    images: Vec<(Rc<str>, f64)>,
     faults: u32,
     shun_until: Steady,
+    /// Starts in a row that the next report did not show.
+    missed: u32,
+    queue: Vec<Queued>,
+    /// The first summary that tells of it as it is now.
+    changed: u64,
 }
 
 impl Machine {
     fn new(report: &Report, now: Steady) -> Self {
         Machine {
-            hull: report.hull.clone(),
-            zone: report.yard.clone(),
+            hull: report.hull.as_str().into(),
+            zone: report.yard.as_str().into(),
             spot: report.loaners,
             session: report.tenure,
-            tally: 0,
-            baton: report.baton,
+            settled: false,
             heard: now,
-            warned: None,
+            warned: false,
             tasks: BTreeMap::new(),
             images: Vec::new(),
             faults: 0,
             shun_until: Steady(0),
+            missed: 0,
+            queue: Vec::new(),
+            changed: 0,
         }
     }
 
     fn remember_image(&mut self, spec: &JobSpec) {
+        if self.images.last().is_some_and(|(name, _)| *name == spec.bundle) {
+            return;
+        }
         self.images.retain(|(name, _)| *name != spec.bundle);
         self.images.push((spec.bundle.clone(), spec.size_gb));
     }
@@ -84,6 +122,58 @@
             self.images.remove(0);
         }
     }
+
+    /// Whether it may be given tasks, as far as its own state tells. It must have shown this
+    /// term's token, so it hears; and if it did, it refuses older orders.
+    fn usable(&self, now: Steady) -> bool {
+        self.settled && !self.warned && self.shun_until <= now && now.since(self.heard) < SILENT_MS
+    }
+
+    fn room(&self, id: &MachineId, env: &Surroundings<'_>, open: bool) -> Option<Room> {
+        let tasks = self.tasks.iter().map(|(t, h)| (*t, h.stage));
+        let what = (id, &self.hull, &self.zone, self.spot);
+        Room::of(what, tasks, &self.images, env.flavors, env.ledger, open && self.usable(env.now))
+    }
+
+    /// Takes the tasks of a report; says whether anything changed, and whether other tasks are
+    /// on the machine than before.
+    fn take_tasks(&mut self, env: &Surroundings<'_>, report: &Report) -> (bool, bool) {
+        let on = || report.pieces.iter().filter(|p| p.stage != PieceStage::Ended);
+        let same = on().count() == self.tasks.len()
+            && on().all(|p| {
+                self.tasks
+                    .get(&p.piece)
+                    .is_some_and(|h| *h == Held { attempt: p.r#try, stage: p.stage })
+            });
+        if same {
+            return (false, false);
+        }
+        // A start that this report does not show was in a response that the worker dropped:
+        // it has one report in flight at a time, so replacing the list forgets it rightly.
+        let ordered = |h: &Held| h.stage == PieceStage::Unknown;
+        let shown = |t: &TaskId, h: &Held| {
+            report.pieces.iter().any(|p| p.piece == *t && p.r#try == h.attempt)
+        };
+        if self.tasks.iter().any(|(t, h)| ordered(h) && shown(t, h)) {
+            self.missed = 0;
+        } else if self.tasks.values().any(ordered) {
+            self.missed += 1;
+            self.shun_until = self.shun_until.max(env.now.plus(1_000 << self.missed.min(5)));
+        }
+        let tasks: BTreeMap<TaskId, Held> =
+            on().map(|p| (p.piece, Held { attempt: p.r#try, stage: p.stage })).collect();
+        let others = !tasks.keys().eq(self.tasks.keys());
+        self.tasks = tasks;
+        for p in on() {
+            if let Some(job) = env.ledger.jobs.get(&p.piece.job) {
+                self.remember_image(&job.spec);
+            }
+        }
+        if let Some(f) = env.flavors.get(&*self.hull) {
+            self.trim_images(f.local_gb);
+        }
+        (true, others)
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -94,6 +184,17 @@
     /// When it came back from being sent to its owner, which it cannot reach then.
     back: Option<Steady>,
     last: Steady,
+    /// Whether it showed this term's token, which no late copy from before does.
+    hears: bool,
+}
+
+/// How a machine that has not shown this term's token was answered in it.
+#[derive(Clone, Debug)]
+struct Unheeded {
+    first: Steady,
+    session: Session,
+    answers: u32,
+    refuse_until: Steady,
 }
 
 /// Errors of a job's tasks, to tell a faulty job from a faulty machine.
@@ -116,6 +217,10 @@
     pub flavors: &'a Flavors,
     /// All controllers.
     pub nodes: &'a [NodeInfo],
+    /// Milliseconds for which workers keep tasks without an answer.
+    pub lease_ms: u64,
+    /// Seconds between two reports of a worker.
+    pub report_s: f64,
 }
 
 /// The part.
@@ -125,11 +230,16 @@
     life: Incarnation,
     term: Term,
     attempts: Attempts,
-    plan: Option<Plan>,
+    seq: PlanSeq,
+    clock_ms: u64,
+    body: PlanBody,
     owners: HashMap<MachineId, NodeId>,
-    grants: Vec<Grant>,
+    gangs: HashSet<Attempt>,
     drained: HashSet<MachineId>,
     machines: BTreeMap<MachineId, Machine>,
+    /// Newest report seen of any machine, against late copies.
+    latest: HashMap<MachineId, (Session, u64)>,
+    unheeded: HashMap<MachineId, Unheeded>,
     answered: BTreeMap<MachineId, Steady>,
     redirected: HashMap<MachineId, Steady>,
     strays: BTreeMap<MachineId, StrayRecord>,
@@ -137,8 +247,18 @@
     /// Attempts of gangs that a worker has shown in this term: they are never started again.
     spent: HashSet<(TaskId, Attempt)>,
     /// Tasks that completed and whose outcome is not known to be durable yet.
-    pub finished: BTreeMap<JobId, BTreeSet<u32>>,
+    pub finished: BTreeMap<JobId, Finished>,
     number: u64,
+    /// Summaries sent lately, with when they were made.
+    sent: VecDeque<(u64, Steady)>,
+    /// The last summary that the leader is known to have taken.
+    told: Option<(u64, Steady)>,
+    /// Whether granted tasks have to be given machines anew.
+    assign: bool,
+    assigned: Steady,
+    /// Whether granted tasks found no machine.
+    unplaced: bool,
+    queued: usize,
     /// Set when something happened that the leader should hear of soon.
     pub news: bool,
 }
@@ -151,11 +271,15 @@
             life,
             term: Term(0),
             attempts: Attempts::new(Term(0), me),
-            plan: None,
+            seq: PlanSeq(0),
+            clock_ms: 0,
+            body: PlanBody::default(),
             owners: HashMap::new(),
-            grants: Vec::new(),
+            gangs: HashSet::new(),
             drained: HashSet::new(),
             machines: BTreeMap::new(),
+            latest: HashMap::new(),
+            unheeded: HashMap::new(),
             answered: BTreeMap::new(),
             redirected: HashMap::new(),
             strays: BTreeMap::new(),
@@ -163,6 +287,12 @@
             spent: HashSet::new(),
             finished: BTreeMap::new(),
             number: 0,
+            sent: VecDeque::new(),
+            told: None,
+            assign: false,
+            assigned: Steady(0),
+            unplaced: false,
+            queued: 0,
             news: false,
         }
     }
@@ -180,59 +310,105 @@
         }
         self.term = term;
         self.attempts = Attempts::new(term, self.me);
-        self.plan = None;
-        self.grants.clear();
+        self.seq = PlanSeq(0);
+        self.clock_ms = 0;
+        self.body.grants.clear();
+        self.body.drain.clear();
+        self.gangs.clear();
         self.spent.clear();
         self.drained.clear();
+        for m in self.machines.values_mut() {
+            m.settled = false;
+            m.queue.clear();
+        }
         // Owners may change with the term, so nobody is known to be out of reach of his.
         self.redirected.clear();
         self.strays.clear();
+        self.unheeded.clear();
+        self.told = None;
+        self.unplaced = false;
+        self.queued = 0;
         self.news = true;
     }
 
     /// Follows a plan, unless it is of another term or life, or older than the last.
     pub fn follow(&mut self, plan: Plan) -> bool {
-        let last = self.plan.as_ref().map_or(PlanSeq(0), |p| p.seq);
-        if plan.term != self.term || plan.life != self.life || plan.seq < last {
+        if plan.term != self.term || plan.life != self.life {
             return false;
         }
-        if plan.seq == last && self.plan.is_some() {
-            if let Some(own) = &mut self.plan {
-                own.clock_ms = own.clock_ms.max(plan.clock_ms);
-            }
+        if let Some(sent) = self.sent.iter().find(|s| s.0 == plan.heard) {
+            self.told = self.told.max(Some(*sent));
+        }
+        if plan.seq == self.seq {
+            self.clock_ms = self.clock_ms.max(plan.clock_ms);
+            return false;
+        }
+        let Some(body) = plan.body.filter(|_| plan.seq > self.seq && plan.owners.base <= self.seq)
+        else {
             return false;
+        };
+        if plan.owners.base == PlanSeq(0) {
+            let owners: HashMap<MachineId, NodeId> = plan.owners.set.into_iter().collect();
+            let before = std::mem::replace(&mut self.owners, owners);
+            self.redirected.retain(|id, _| before.get(id) == self.owners.get(id));
+        } else {
+            self.owners.extend(plan.owners.set);
+            for id in &plan.owners.gone {
+                self.owners.remove(id);
+            }
         }
-        let owners: HashMap<MachineId, NodeId> = plan.owners.iter().cloned().collect();
-        let before = std::mem::replace(&mut self.owners, owners);
-        self.redirected.retain(|id, _| before.get(id) == self.owners.get(id));
         let (me, owners) = (self.me, &self.owners);
         // Whatever was on a machine that this part no longer has is its new owner's to tell,
         // or is gone with the machine.
         self.machines.retain(|id, _| owners.get(id) == Some(&me));
         self.strays.retain(|id, _| owners.get(id) != Some(&me));
-        self.grants = plan.grants.clone();
-        self.drained = plan.drain.iter().cloned().collect();
-        self.plan = Some(plan);
+        self.drained = body.drain.iter().cloned().collect();
+        self.gangs = body.grants.iter().filter_map(|g| g.attempt).collect();
+        self.body = body;
+        self.seq = plan.seq;
+        self.clock_ms = plan.clock_ms;
+        self.assign = true;
         true
     }
 
-    /// The last plan, if one of this term is followed.
-    pub fn plan(&self) -> Option<&Plan> {
-        self.plan.as_ref()
+    /// Sends all it knows with the next summary.
+    pub fn send_whole(&mut self) {
+        self.told = None;
+        self.news = true;
+    }
+
+    /// How a job stands as the leader last told.
+    pub fn standing(&self, job: JobId) -> Option<crate::peer::Standing> {
+        self.body.standings.iter().find(|s| s.job == job.0).copied()
     }
 
     /// Answers a report.
     pub fn on_report(&mut self, env: &Surroundings<'_>, report: &Report) -> ReportAnswer {
-        let now = env.now;
+        // A completed task stays completed whoever reports it and however late.
+        self.note_finished(env.now, env.ledger, report);
         if !env.may_answer || self.term == Term(0) || report.baton > self.term {
             return ReportAnswer::Refuse;
         }
         if env.ledger.machine_gone(&report.host) {
             return ReportAnswer::Refuse;
         }
+        // A late copy tells of a past that newer reports have overtaken. It settles nothing,
+        // and its answer would reach nobody.
+        let order = (report.tenure, report.tally);
+        if self.latest.get(&report.host).is_some_and(|newest| order <= *newest) {
+            return ReportAnswer::Refuse;
+        }
+        if self.latest.len() >= LATEST_KEPT {
+            let owners = &self.owners;
+            self.latest.retain(|id, _| owners.contains_key(id));
+        }
+        self.latest.insert(report.host.clone(), order);
+        if !self.heeds(env, report) {
+            return ReportAnswer::Refuse;
+        }
         match self.owners.get(&report.host).copied() {
             Some(owner) if owner == self.me => self.on_own_report(env, report),
-            Some(owner) if self.redirects(now, &report.host) => {
+            Some(owner) if self.redirects(env.now, &report.host) => {
                 match env.nodes.get(usize::from(owner.0)) {
                     Some(node) => ReportAnswer::Go(node.name.clone()),
                     None => ReportAnswer::Refuse,
@@ -242,6 +418,34 @@
         }
     }
 
+    /// Whether a machine may be taken to hear its answers. One that never shows the token is
+    /// deaf, or somebody repeats old reports of it: it gets no answer for a whole lease, so
+    /// that its tasks are proven gone and no proof waits for it.
+    fn heeds(&mut self, env: &Surroundings<'_>, report: &Report) -> bool {
+        if report.baton == self.term {
+            self.unheeded.remove(&report.host);
+            return true;
+        }
+        let now = env.now;
+        let fresh =
+            Unheeded { first: now, session: report.tenure, answers: 0, refuse_until: Steady(0) };
+        let u = self.unheeded.entry(report.host.clone()).or_insert_with(|| fresh.clone());
+        if u.refuse_until > now {
+            return false;
+        }
+        if u.refuse_until > Steady(0) {
+            *u = fresh; // It gets another chance.
+        }
+        let ignored = u.answers >= DEAF_ANSWERS && now.since(u.first) > DEAF_MS;
+        if ignored || (u.answers > 0 && report.tenure > u.session) {
+            u.refuse_until = now.plus(env.lease_ms + 4_000);
+            tracing::info!(machine = %report.host, "does not hear its answers");
+            return false;
+        }
+        u.answers += 1;
+        true
+    }
+
     /// Whether a machine of another part is to be sent to its owner: yes, unless it was sent
     /// there lately and has come back, which means that it cannot reach the owner.
     fn redirects(&mut self, now: Steady, id: &MachineId) -> bool {
@@ -265,18 +469,18 @@
     fn on_stray_report(&mut self, env: &Surroundings<'_>, report: &Report) -> ReportAnswer {
         let now = env.now;
         let owned = self.owners.contains_key(&report.host);
-        let record = self.strays.entry(report.host.clone()).or_insert_with(|| {
-            self.news = true;
-            StrayRecord {
-                hull: report.hull.clone(),
-                zone: report.yard.clone(),
-                spot: report.loaners,
-                back: owned.then_some(now),
-                last: now,
-            }
+        let hears = report.baton == self.term;
+        let record = self.strays.entry(report.host.clone()).or_insert_with(|| StrayRecord {
+            hull: report.hull.clone(),
+            zone: report.yard.clone(),
+            spot: report.loaners,
+            back: owned.then_some(now),
+            last: now,
+            hears: false,
         });
         record.last = now;
-        self.note_finished(env.ledger, report);
+        self.news |= hears && !record.hears;
+        record.hears = hears;
         self.answered.insert(report.host.clone(), now);
         ReportAnswer::Take(ReportReply {
             baton: self.term,
@@ -284,68 +488,61 @@
         })
     }
 
-    fn note_finished(&mut self, ledger: &Ledger, report: &Report) {
+    fn note_finished(&mut self, now: Steady, ledger: &Ledger, report: &Report) {
         for p in &report.pieces {
-            // A completed task stays completed whoever reports it and however late.
-            if p.stage == PieceStage::Ended
-                && p.cause == Some(Cause::Done)
-                && ledger.may_run(p.piece)
-                && self.finished.entry(p.piece.job).or_default().insert(p.piece.index)
-            {
-                self.news = true;
+            if p.stage == PieceStage::Ended && p.cause == Some(Cause::Done) {
+                self.note_done(now, ledger, p.piece);
+            }
+        }
+    }
+
+    fn note_done(&mut self, now: Steady, ledger: &Ledger, task: TaskId) {
+        if ledger.may_run(task) {
+            let f = self
+                .finished
+                .entry(task.job)
+                .or_insert_with(|| Finished { tasks: Ranges::default(), since: now });
+            self.news |= f.tasks.insert(task.index);
+        }
+    }
+
+    /// Takes completions that another controller heard of.
+    pub fn take_finished(&mut self, now: Steady, ledger: &Ledger, finished: &[(u64, Ranges)]) {
+        for (job, tasks) in finished {
+            for index in tasks.iter() {
+                self.note_done(now, ledger, TaskId { job: JobId(*job), index });
             }
         }
     }
 
     fn on_own_report(&mut self, env: &Surroundings<'_>, report: &Report) -> ReportAnswer {
         let now = env.now;
+        let next = self.number + 1;
         let machine =
             self.machines.entry(report.host.clone()).or_insert_with(|| Machine::new(report, now));
-        // A held-back report tells of a past that newer ones have overtaken.
-        if (report.tenure, report.tally) <= (machine.session, machine.tally) {
-            return ReportAnswer::Refuse;
-        }
-        let before: BTreeSet<TaskId> = machine.tasks.keys().copied().collect();
-        machine.session = report.tenure;
-        machine.tally = report.tally;
-        machine.baton = report.baton;
+        let settled = report.baton == self.term;
+        let warned = report.warning_s.is_some();
+        let shunned = machine.shun_until;
+        let state = (report.tenure, settled, warned);
+        let turned = state != (machine.session, machine.settled, machine.warned);
+        (machine.session, machine.settled, machine.warned) = state;
         machine.heard = now;
-        machine.warned = match (machine.warned, report.warning_s) {
-            (_, None) => None,
-            (Some(at), Some(_)) => Some(at),
-            (None, Some(s)) => Some(now.plus((s.max(0.0) * 1000.0) as u64)),
-        };
-        let mut tasks = BTreeMap::new();
-        for p in report.pieces.iter().filter(|p| p.stage != PieceStage::Ended) {
-            let since = match machine.tasks.get(&p.piece) {
-                Some(h) if h.attempt == p.r#try && h.stage == p.stage => h.since,
-                _ => now,
-            };
-            if since == now && p.stage == PieceStage::Running {
-                tracing::debug!(task = %p.piece, machine = %report.host, "runs");
-            }
-            tasks.insert(p.piece, Held { attempt: p.r#try, stage: p.stage, since });
-            if let Some(job) = env.ledger.jobs.get(&p.piece.job) {
-                machine.remember_image(&job.spec);
-            }
-        }
-        // A start that this report does not show was in a response that the worker dropped:
-        // it has one report in flight at a time, so replacing the list forgets it rightly.
-        machine.tasks = tasks;
-        if let Some(f) = env.flavors.get(&machine.hull) {
-            machine.trim_images(f.local_gb);
+        let before = machine.tasks.len();
+        let (changed, others) = machine.take_tasks(env, report);
+        let new = machine.changed == 0;
+        self.news |= others || turned || new;
+        // Stages matter to the leader only in passing, so they are told without haste.
+        if changed || turned || new || machine.shun_until != shunned {
+            machine.changed = next;
         }
-        if machine.tasks.keys().copied().collect::<BTreeSet<_>>() != before {
-            self.news = true;
+        let freed = machine.tasks.len() < before || turned || machine.shun_until != shunned;
+        if !self.gangs.is_empty() {
+            let shown = report.pieces.iter().map(|p| (p.piece, p.r#try));
+            self.spent.extend(shown.filter(|p| self.gangs.contains(&p.1)));
         }
-        let shared = |a: &Attempt| self.grants.iter().any(|g| g.attempt == Some(*a));
-        let shown = report.pieces.iter().map(|p| (p.piece, p.r#try)).filter(|p| shared(&p.1));
-        let shown: Vec<_> = shown.collect();
-        self.spent.extend(shown);
-        self.note_finished(env.ledger, report);
         let mut orders = kills(env.ledger, &report.pieces);
         self.clear_ended(env, report, &mut orders);
-        self.start_granted(env, &report.host, &mut orders);
+        self.start_granted(env, &report.host, freed, &mut orders);
         self.answered.insert(report.host.clone(), now);
         ReportAnswer::Take(ReportReply { baton: self.term, orders })
     }
@@ -366,6 +563,7 @@
                 Some(Cause::NoRoom | Cause::InUse | Cause::Unknown) => {
                     if let Some(m) = self.machines.get_mut(&report.host) {
                         m.shun_until = m.shun_until.max(env.now.plus(2_000));
+                        m.changed = self.number + 1;
                     }
                 }
                 Some(Cause::Done) => {
@@ -390,6 +588,7 @@
         f.until = now.plus(pause);
         if let Some(m) = self.machines.get_mut(machine) {
             m.faults += 1;
+            m.changed = self.number + 1;
             if !faulty_job {
                 m.shun_until = now.plus(15_000u64 << m.faults.min(4));
             }
@@ -402,68 +601,124 @@
         self.faults.get(&job).is_some_and(|f| f.machines.len() >= 3)
     }
 
-    fn start_granted(&mut self, env: &Surroundings<'_>, id: &MachineId, orders: &mut Vec<Order>) {
-        if self.grants.is_empty() {
-            return;
+    /// Starts what is meant for a machine, after having looked anew where granted tasks are
+    /// to go if anything speaks for that.
+    fn start_granted(
+        &mut self,
+        env: &Surroundings<'_>,
+        id: &MachineId,
+        freed: bool,
+        orders: &mut Vec<Order>,
+    ) {
+        let since = env.now.since(self.assigned);
+        let waiting = self.unplaced || self.queued > 0;
+        let due =
+            (freed && self.unplaced && since >= ASSIGN_LEAST_MS) || (waiting && since >= ASSIGN_MS);
+        if self.assign || due {
+            self.assign_granted(env);
         }
-        let mut rooms = self.rooms(env);
-        if !rooms.iter().any(|r| r.id == *id && r.open) {
+        let Some(machine) = self.machines.get_mut(id).filter(|m| !m.queue.is_empty()) else {
             return;
-        }
-        let held: HashSet<TaskId> =
-            self.machines.values().flat_map(|m| m.tasks.keys()).copied().collect();
-        let mut grants: Vec<(Urgency, JobId, &Grant)> = self
-            .grants
-            .iter()
-            .filter_map(|g| Some((env.ledger.jobs.get(&g.job)?.spec.urgency, g.job, g)))
-            .collect();
-        grants.sort_by_key(|g| (g.0, g.1));
-        let mut starts = Vec::new();
-        for (_, job_id, grant) in grants {
-            let Some(job) = env.ledger.jobs.get(&job_id) else {
+        };
+        let queue = std::mem::take(&mut machine.queue);
+        self.queued = self.queued.saturating_sub(queue.len());
+        let Some(mut room) = machine.room(id, env, !self.drained.contains(id)) else {
+            return;
+        };
+        for q in queue {
+            let Some(job) = env.ledger.jobs.get(&q.task.job) else {
                 continue;
             };
-            if self.faults.get(&job_id).is_some_and(|f| f.until > env.now) {
-                continue;
-            }
             let need = Need::of(&job.spec);
-            let tasks = grant.tasks.iter().map(|index| TaskId { job: job_id, index });
-            let spent = |t: &TaskId| grant.attempt.is_some_and(|a| self.spent.contains(&(*t, a)));
-            let open = |t: &TaskId| env.ledger.may_run(*t) && !held.contains(t) && !spent(t);
-            for task in tasks.filter(open) {
-                let Some(i) = place::choose(&job.spec, &need, &rooms, grant.zone.as_deref()) else {
-                    break;
-                };
-                rooms[i].add(&job.spec, &need);
-                if rooms[i].id == *id {
-                    starts.push((task, &job.spec, grant.attempt));
-                }
+            if !self.may_start(env.ledger, q.task)
+                || !room.takes(&job.spec, &need, None)
+                || self.machines.values().any(|m| m.tasks.contains_key(&q.task))
+            {
+                self.unplaced = true;
+                continue;
             }
-        }
-        let Some(machine) = self.machines.get_mut(id) else {
-            return;
-        };
-        for (task, spec, attempt) in starts {
-            let attempt = attempt.unwrap_or_else(|| self.attempts.give());
-            machine.remember_image(spec);
-            machine
-                .tasks
-                .insert(task, Held { attempt, stage: PieceStage::Unknown, since: env.now });
+            room.add(&job.spec, &need);
+            let attempt = q.attempt.unwrap_or_else(|| self.attempts.give());
+            let Some(machine) = self.machines.get_mut(id) else { return };
+            machine.remember_image(&job.spec);
+            machine.tasks.insert(q.task, Held { attempt, stage: PieceStage::Unknown });
+            machine.changed = self.number + 1;
             self.news = true;
-            tracing::debug!(%task, machine = %id, %attempt, "starts");
-            orders.push(Order::Start { piece: task, r#try: attempt });
+            tracing::debug!(task = %q.task, machine = %id, %attempt, "starts");
+            orders.push(Order::Start { piece: q.task, r#try: attempt });
         }
     }
 
-    /// This part's machines as placement sees them.
-    fn rooms(&self, env: &Surroundings<'_>) -> Vec<Room> {
-        self.machines
+    /// Whether a task is neither done nor known here to have completed.
+    fn may_start(&self, ledger: &Ledger, task: TaskId) -> bool {
+        ledger.may_run(task)
+            && !self.finished.get(&task.job).is_some_and(|f| f.tasks.contains(task.index))
+    }
+
+    /// Gives every granted task that is not on a machine the one where it is to start. It
+    /// starts with that machine's next report.
+    fn assign_granted(&mut self, env: &Surroundings<'_>) {
+        self.assign = false;
+        self.assigned = env.now;
+        self.unplaced = false;
+        self.queued = 0;
+        for m in self.machines.values_mut() {
+            m.queue.clear();
+        }
+        let held: FxHashSet<TaskId> =
+            self.machines.values().flat_map(|m| m.tasks.keys()).copied().collect();
+        let mut wanted: Vec<(Urgency, JobId, &Grant, Vec<TaskId>)> = Vec::new();
+        for g in &self.body.grants {
+            let Some(job) = env.ledger.jobs.get(&g.job()) else { continue };
+            if self.faults.get(&g.job()).is_some_and(|f| f.until > env.now) {
+                self.unplaced = true;
+                continue;
+            }
+            let spent = |t: &TaskId| g.attempt.is_some_and(|a| self.spent.contains(&(*t, a)));
+            let tasks: Vec<TaskId> = g
+                .tasks
+                .iter()
+                .map(|index| TaskId { job: g.job(), index })
+                .filter(|t| !held.contains(t) && self.may_start(env.ledger, *t) && !spent(t))
+                .collect();
+            if !tasks.is_empty() {
+                wanted.push((job.spec.urgency, g.job(), g, tasks));
+            }
+        }
+        if wanted.is_empty() {
+            return;
+        }
+        wanted.sort_by_key(|w| (w.0, w.1));
+        let mut rooms: Vec<Room> = self
+            .machines
             .iter()
             .filter_map(|(id, m)| {
-                let view = self.view(id, m, env.now);
-                Room::of(&view, env.flavors, env.ledger, !self.drained.contains(id))
+                let mut room = m.room(id, env, !self.drained.contains(id))?;
+                let since = env.now.since(m.heard) as f64 / 1000.0;
+                room.delay_s = (env.report_s - since).max(0.0);
+                Some(room).filter(|r| r.open)
             })
-            .collect()
+            .collect();
+        let mut queues: Vec<(MachineId, Queued)> = Vec::new();
+        for (_, _, grant, tasks) in wanted {
+            let Some(job) = env.ledger.jobs.get(&grant.job()) else { continue };
+            let need = Need::of(&job.spec);
+            let zone = grant.zone.as_deref();
+            let chosen = place::spread(&job.spec, &need, &mut rooms, zone, tasks.len());
+            self.unplaced |= chosen.len() < tasks.len();
+            let queued = tasks.into_iter().zip(chosen);
+            queues.extend(
+                queued.map(|(task, i)| {
+                    (rooms[i].id.clone(), Queued { task, attempt: grant.attempt })
+                }),
+            );
+        }
+        self.queued = queues.len();
+        for (id, q) in queues {
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.queue.push(q);
+            }
+        }
     }
 
     /// What the leader is told.
@@ -472,20 +727,28 @@
         self.strays.retain(|_, s| now.since(s.last) < 10_000);
         self.redirected.retain(|_, at| now.since(*at) < 10_000);
         self.answered.retain(|_, at| now.since(*at) < 120_000);
-        let machines = self.machines.iter().map(|(id, m)| self.view(id, m, now)).collect();
+        self.sent.push_back((self.number, now));
+        if self.sent.len() > 64 {
+            self.sent.pop_front();
+        }
+        let (base, since) = self.told.unwrap_or_default();
+        let machines = self.machines.iter().filter(|(_, m)| base == 0 || m.changed > base);
+        let answered = self.answered.iter().filter(|(_, at)| base == 0 || **at >= since);
         Summary {
             node: self.me,
             life: self.life,
             number: self.number,
+            base,
             term: self.term,
-            followed: self.plan.as_ref().map_or(PlanSeq(0), |p| p.seq),
-            echo_ms: self.plan.as_ref().map_or(0, |p| p.clock_ms),
+            followed: self.seq,
+            echo_ms: self.clock_ms,
             up_ms: now.0,
-            machines,
-            answered: self.answered.iter().map(|(id, at)| (id.clone(), now.since(*at))).collect(),
+            machines: machines.map(|(id, m)| view(id, m, now)).collect(),
+            answered: answered.map(|(id, at)| (id.clone(), now.since(*at))).collect(),
             strays: self
                 .strays
                 .iter()
+                .filter(|(_, s)| s.hears)
                 .map(|(id, s)| Stray {
                     id: id.clone(),
                     hull: s.hull.clone(),
@@ -495,46 +758,39 @@
                     since_ms: s.back.map_or(0, |at| now.since(at)),
                 })
                 .collect(),
-            failing: self.faults.keys().copied().filter(|j| self.failing(*j)).collect(),
-        }
-    }
-
-    fn view(&self, id: &MachineId, m: &Machine, now: Steady) -> MachineView {
-        MachineView {
-            id: id.clone(),
-            hull: m.hull.clone(),
-            zone: m.zone.clone(),
-            spot: m.spot,
-            session: m.session,
-            settled: m.baton == self.term,
-            silent_ms: now.since(m.heard),
-            warning_ms: m.warned.map(|at| at.since(now)),
-            shunned: m.shun_until > now,
-            faults: m.faults,
-            tasks: m
-                .tasks
-                .iter()
-                .map(|(task, h)| TaskView {
-                    task: *task,
-                    attempt: h.attempt,
-                    stage: h.stage,
-                    age_ms: now.since(h.since),
-                })
-                .collect(),
-            images: m.images.clone(),
+            finished: self.finished.iter().map(|(j, f)| (j.0, f.tasks.clone())).collect(),
+            failing: self.faults.keys().filter(|j| self.failing(**j)).map(|j| j.0).collect(),
         }
     }
 
     /// Forgets finished tasks that are durable by now and faults of jobs that have ended.
     pub fn tidy(&mut self, ledger: &Ledger) {
-        self.finished.retain(|job, tasks| {
-            tasks.retain(|i| ledger.may_run(TaskId { job: *job, index: *i }));
-            !tasks.is_empty()
+        self.finished.retain(|job, f| {
+            let open = |i: &u32| ledger.may_run(TaskId { job: *job, index: *i });
+            if !f.tasks.iter().all(|i| open(&i)) {
+                f.tasks = f.tasks.iter().filter(open).collect();
+            }
+            !f.tasks.is_empty()
         });
         self.faults.retain(|job, _| ledger.jobs.contains_key(job));
     }
 }
 
+fn view(id: &MachineId, m: &Machine, now: Steady) -> MachineView {
+    MachineView {
+        id: id.clone(),
+        hull: m.hull.clone(),
+        zone: m.zone.clone(),
+        spot: m.spot,
+        settled: m.settled,
+        session: m.session,
+        leaving: m.warned,
+        shun_ms: m.shun_until.since(now),
+        tasks: m.tasks.iter().map(|(task, h)| TaskView { task: *task, stage: h.stage }).collect(),
+        images: m.images.clone(),
+    }
+}
+
 fn kill(piece: TaskId, attempt: Attempt) -> Order {
     Order::Kill { piece, r#try: attempt, leeway_s: 0.0 }
 }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,6 +1,8 @@
 //! Messages between controllers: part summaries to the leader, plans back, and requests
 //! handed over to a controller that can reach the store. Encoded with `rmp-serde`.
 
+use std::rc::Rc;
+
 use serde::{Deserialize, Serialize};
 
 use crate::model::{
@@ -9,16 +11,36 @@
 use crate::wire::{JobSpec, PieceStage};
 
 /// A task as its machine's owner knows it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(from = "(u64, u32, u8)", into = "(u64, u32, u8)")]
 pub struct TaskView {
     /// The task.
     pub task: TaskId,
-    /// Its attempt.
-    pub attempt: Attempt,
     /// Its state; `Unknown` for a start that the worker has not shown yet.
     pub stage: PieceStage,
-    /// Milliseconds since it is there.
-    pub age_ms: u64,
+}
+
+/// Stages by their number in messages between controllers.
+const STAGES: [PieceStage; 5] = [
+    PieceStage::Unknown,
+    PieceStage::Fetching,
+    PieceStage::Running,
+    PieceStage::Flushing,
+    PieceStage::Ended,
+];
+
+impl From<TaskView> for (u64, u32, u8) {
+    fn from(t: TaskView) -> Self {
+        let stage = STAGES.iter().position(|s| *s == t.stage).unwrap_or(0);
+        (t.task.job.0, t.task.index, stage as u8)
+    }
+}
+
+impl From<(u64, u32, u8)> for TaskView {
+    fn from((job, index, stage): (u64, u32, u8)) -> Self {
+        let stage = STAGES.get(usize::from(stage)).copied().unwrap_or(PieceStage::Unknown);
+        TaskView { task: TaskId { job: JobId(job), index }, stage }
+    }
 }
 
 /// A machine as its owner knows it.
@@ -27,28 +49,25 @@
     /// The machine.
     pub id: MachineId,
     /// Type.
-    pub hull: String,
+    pub hull: Rc<str>,
     /// Zone.
-    pub zone: String,
+    pub zone: Rc<str>,
     /// Spot or ordinary.
     pub spot: bool,
-    /// Session.
-    pub session: Session,
     /// Whether its last report carried the sender's term: it refuses orders of older ones,
     /// and its task list is the truth.
     pub settled: bool,
-    /// Milliseconds since its last report.
-    pub silent_ms: u64,
-    /// Milliseconds until the cloud takes it, if it said so.
-    pub warning_ms: Option<u64>,
-    /// Whether it lately failed tasks or refused starts.
-    pub shunned: bool,
-    /// Tasks that failed here since the last one that completed.
-    pub faults: u32,
+    /// Its session.
+    pub session: Session,
+    /// Whether the cloud is about to take it.
+    pub leaving: bool,
+    /// Milliseconds for which it takes nothing new: it failed tasks or showed no effect of
+    /// orders lately.
+    pub shun_ms: u64,
     /// Tasks on it or on their way to it.
     pub tasks: Vec<TaskView>,
     /// Images it has, with their sizes in GB, most recently used last.
-    pub images: Vec<(String, f64)>,
+    pub images: Vec<(Rc<str>, f64)>,
 }
 
 /// A machine that reports to a node that does not own it.
@@ -68,7 +87,8 @@
     pub since_ms: u64,
 }
 
-/// What a controller tells the leader.
+/// What a controller tells the leader: all that changed since an earlier summary which the
+/// leader is known to have taken.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Summary {
     /// Sender.
@@ -77,6 +97,8 @@
     pub life: Incarnation,
     /// Counts its summaries; late ones are dropped.
     pub number: u64,
+    /// The summary that this one adds to; 0 if it is whole.
+    pub base: u64,
     /// The term it knows.
     pub term: Term,
     /// The last plan of this term that it follows.
@@ -85,21 +107,23 @@
     pub echo_ms: u64,
     /// Milliseconds since its process started.
     pub up_ms: u64,
-    /// The machines of its part.
+    /// The machines of its part that changed since the base.
     pub machines: Vec<MachineView>,
-    /// For every machine it answered in this life: milliseconds since the last answer.
+    /// For every machine it answered since the base: milliseconds since the last answer.
     pub answered: Vec<(MachineId, u64)>,
     /// Machines that report to it without being of its part.
     pub strays: Vec<Stray>,
     /// Jobs that fail wherever they are tried.
-    pub failing: Vec<JobId>,
+    pub failing: Vec<u64>,
+    /// Tasks that completed and are not known to be on record yet.
+    pub finished: Vec<(u64, Ranges)>,
 }
 
 /// Task ranges that a part may start.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Grant {
-    /// The job.
-    pub job: JobId,
+    /// The job's number.
+    pub job: u64,
     /// The tasks.
     pub tasks: Ranges,
     /// The only zone in which they may start, for jobs whose tasks must be together or apart.
@@ -108,6 +132,13 @@
     pub attempt: Option<Attempt>,
 }
 
+impl Grant {
+    /// The job.
+    pub fn job(&self) -> JobId {
+        JobId(self.job)
+    }
+}
+
 /// Why a job does not run as wide as it could.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Waits {
@@ -128,14 +159,25 @@
 /// How a job stands, for answers to users.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Standing {
-    /// The job.
-    pub job: JobId,
+    /// The job's number.
+    pub job: u64,
     /// Tasks running.
     pub running: u32,
     /// What holds it back.
     pub waits: Waits,
 }
 
+/// What changed about owners of machines since an earlier plan.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct OwnerNews {
+    /// The plan that this adds to; 0 if it is whole.
+    pub base: PlanSeq,
+    /// Owners of machines.
+    pub set: Vec<(MachineId, NodeId)>,
+    /// Machines that are gone.
+    pub gone: Vec<MachineId>,
+}
+
 /// What the leader tells a controller.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Plan {
@@ -147,8 +189,17 @@
     pub seq: PlanSeq,
     /// The leader's clock when it was sent, to be echoed.
     pub clock_ms: u64,
-    /// Every machine's owner.
-    pub owners: Vec<(MachineId, NodeId)>,
+    /// The last summary that the leader took from the receiver.
+    pub heard: u64,
+    /// Owners of machines.
+    pub owners: OwnerNews,
+    /// The rest; `None` if it is as in the plan that the receiver follows already.
+    pub body: Option<PlanBody>,
+}
+
+/// What a part may do.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PlanBody {
     /// What this part may start.
     pub grants: Vec<Grant>,
     /// Machines that are to take nothing new.
@@ -179,12 +230,23 @@
     Plan(Box<Plan>),
     /// The asked node does not lead; this is the term it knows.
     NotLeading(Term),
+    /// The summary adds to one that the leader does not have: a whole one is needed.
+    SendWhole,
     /// Whether the asked node reaches the store.
     Reach(bool),
     /// The answer to a handed-over request: status and CBOR body.
     Answer(u16, Vec<u8>),
 }
 
+/// A message through the store, for controllers that cannot reach each other.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Relayed {
+    /// A part's summary to the leader.
+    Summary(Summary),
+    /// The leader's answer.
+    Tell(Tell),
+}
+
 /// Encodes a message.
 pub fn encode<T: Serialize>(message: &T) -> Vec<u8> {
     // Writing to memory fails only for types that MessagePack cannot express; ours all can.
--- a/src/place.rs
+++ b/src/place.rs
@@ -1,11 +1,12 @@
 //! Placement: which machine a task goes to. Pure, and used by the leader to divide grants
 //! over parts as well as by the parts themselves.
 
-use std::collections::HashMap;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::rc::Rc;
 
 use crate::ledger::Ledger;
-use crate::model::{Cores, MachineId};
-use crate::peer::MachineView;
+use crate::model::{Cores, MachineId, TaskId};
 use crate::wire::{Flavor, JobSpec, PieceStage};
 
 /// Machine types by name, with what their machines offer.
@@ -66,17 +67,19 @@
     /// The machine.
     pub id: MachineId,
     /// Type.
-    pub hull: String,
+    pub hull: Rc<str>,
     /// Zone.
-    pub zone: String,
+    pub zone: Rc<str>,
     /// Spot or ordinary.
     pub spot: bool,
     /// What is free; tasks that fetch their image count as there.
     pub free: Need,
     /// Images that it has or fetches, with their sizes in GB.
-    pub images: Vec<(String, f64)>,
+    pub images: Vec<(Rc<str>, f64)>,
     /// Images that it fetches.
-    pub fetching: Vec<String>,
+    pub fetching: Vec<Rc<str>>,
+    /// Seconds until it can be told of a task.
+    pub delay_s: f64,
     /// Rate of fetches in GB a second.
     pub fetch_rate: f64,
     /// Whether it takes new tasks.
@@ -88,7 +91,7 @@
     pub fn takes(&self, spec: &JobSpec, need: &Need, zone: Option<&str>) -> bool {
         self.open
             && need.fits(&self.free)
-            && zone.is_none_or(|z| z == self.zone)
+            && zone.is_none_or(|z| *z == *self.zone)
             && allowed(spec, &self.hull, &self.zone, self.spot)
     }
 
@@ -107,7 +110,7 @@
     }
 
     fn has(&self, image: &str) -> bool {
-        self.images.iter().any(|(name, _)| name == image)
+        self.images.iter().any(|(name, _)| **name == *image)
     }
 
     /// GB of images of other jobs that the machine has.
@@ -124,34 +127,41 @@
         }
     }
 
-    /// A machine as its owner tells of it; `open` says what else speaks for or against it.
-    pub fn of(view: &MachineView, flavors: &Flavors, ledger: &Ledger, open: bool) -> Option<Self> {
-        let flavor = flavors.get(&view.hull)?;
+    /// A machine with these tasks and images; `open` says what speaks for or against it.
+    pub fn of(
+        (id, hull, zone, spot): (&MachineId, &Rc<str>, &Rc<str>, bool),
+        tasks: impl Iterator<Item = (TaskId, PieceStage)>,
+        images: &[(Rc<str>, f64)],
+        flavors: &Flavors,
+        ledger: &Ledger,
+        open: bool,
+    ) -> Option<Self> {
+        let flavor = flavors.get(&**hull)?;
         let mut free = Need::offered(flavor);
         let mut known = true;
-        let mut fetching: Vec<String> = Vec::new();
-        for t in &view.tasks {
+        let mut fetching: Vec<Rc<str>> = Vec::new();
+        for (task, stage) in tasks {
             // A task of a job that has ended still takes room until it is gone.
-            let Some(job) = ledger.jobs.get(&t.task.job) else {
+            let Some(job) = ledger.jobs.get(&task.job) else {
                 known = false;
                 continue;
             };
             Need::of(&job.spec).take_from(&mut free);
-            if t.stage == PieceStage::Fetching && !fetching.contains(&job.spec.bundle) {
+            if stage == PieceStage::Fetching && !fetching.contains(&job.spec.bundle) {
                 fetching.push(job.spec.bundle.clone());
             }
         }
-        let usable = view.silent_ms < SILENT_MS && view.warning_ms.is_none() && !view.shunned;
         Some(Room {
-            id: view.id.clone(),
-            hull: view.hull.clone(),
-            zone: view.zone.clone(),
-            spot: view.spot,
+            id: id.clone(),
+            hull: hull.clone(),
+            zone: zone.clone(),
+            spot,
             free,
-            images: view.images.clone(),
+            images: images.to_vec(),
             fetching,
+            delay_s: 0.0,
             fetch_rate: flavor.fetch_gb_per_s,
-            open: open && known && usable && ledger.machine_known(&view.id),
+            open: open && known && ledger.machine_known(id),
         })
     }
 }
@@ -170,22 +180,57 @@
 const OTHER_IMAGES_S_PER_GB: f64 = 0.5;
 
 /// A machine that has not reported for that long takes nothing new.
-const SILENT_MS: u64 = 4_000;
+pub const SILENT_MS: u64 = 4_000;
+
+/// What it costs to place a task on a machine, in seconds.
+fn cost(spec: &JobSpec, need: &Need, r: &Room) -> f64 {
+    r.fetch_s(spec)
+        + r.delay_s
+        + r.free.cores.less(need.cores).amount() * SPARE_CORE_S
+        + if r.spot { 0.0 } else { spec.guess_s * ORDINARY_PART }
+        + r.others_gb(spec) * OTHER_IMAGES_S_PER_GB
+}
 
 /// The best machine for a task: shortest wait for the image, then the tightest fit.
 pub fn choose(spec: &JobSpec, need: &Need, rooms: &[Room], zone: Option<&str>) -> Option<usize> {
-    let cost = |r: &Room| {
-        r.fetch_s(spec)
-            + r.free.cores.less(need.cores).amount() * SPARE_CORE_S
-            + if r.spot { 0.0 } else { spec.guess_s * ORDINARY_PART }
-            + r.others_gb(spec) * OTHER_IMAGES_S_PER_GB
-    };
     rooms
         .iter()
         .enumerate()
         .filter(|(_, r)| r.takes(spec, need, zone))
-        .min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b)).then_with(|| a.id.cmp(&b.id)))
-        .map(|(i, _)| i)
+        .map(|(i, r)| (cost(spec, need, r), i))
+        .min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| rooms[a.1].id.cmp(&rooms[b.1].id)))
+        .map(|(_, i)| i)
+}
+
+/// Places up to `count` tasks of a job, each on the machine that is best when its turn comes,
+/// and counts them in there. A job's tasks are alike, so every machine is weighed once, and
+/// again only when it got a task.
+pub fn spread(
+    spec: &JobSpec,
+    need: &Need,
+    rooms: &mut [Room],
+    zone: Option<&str>,
+    count: usize,
+) -> Vec<usize> {
+    // Costs are not negative, so their bits sort as they do.
+    let bits = |r: &Room| cost(spec, need, r).max(0.0).to_bits();
+    let mut open: BinaryHeap<Reverse<(u64, usize)>> = rooms
+        .iter()
+        .enumerate()
+        .filter(|(_, r)| r.takes(spec, need, zone))
+        .map(|(i, r)| Reverse((bits(r), i)))
+        .collect();
+    let mut chosen = Vec::new();
+    while chosen.len() < count
+        && let Some(Reverse((_, i))) = open.pop()
+    {
+        rooms[i].add(spec, need);
+        chosen.push(i);
+        if rooms[i].takes(spec, need, zone) {
+            open.push(Reverse((bits(&rooms[i]), i)));
+        }
+    }
+    chosen
 }
 
 /// Whether some machine type could ever hold a task of the job.
@@ -232,6 +277,7 @@
             },
             images: vec![],
             fetching: vec![],
+            delay_s: 0.0,
             fetch_rate: 0.5,
             open: true,
         }
@@ -262,7 +308,7 @@
                 "a machine that fetches much is slower",
                 vec![
                     edit(room("n-1", 4, 64), |r| {
-                        r.fetching = ["x", "y", "z"].map(String::from).to_vec()
+                        r.fetching = ["x", "y", "z"].map(Rc::from).to_vec()
                     }),
                     room("n-2", 8, 64),
                 ],
--- a/src/service.rs
+++ b/src/service.rs
@@ -1,7 +1,7 @@
 //! One controller: its state, and the loops that keep what is close to what is wanted.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -17,10 +17,12 @@
 use crate::config::Settings;
 use crate::core::{Core, Moment, accept_txn};
 use crate::http::{self, Client, Response, ServerLimits};
+use crate::lead::Lead;
 use crate::ledger::{self, Brought};
+use crate::meter::{Meter, Work};
 use crate::model::{Incarnation, JobId, NodeId, Revision, Steady, Term, Wall};
 use crate::part::ReportAnswer;
-use crate::peer::{self, Ask, Plan, Summary, Tell};
+use crate::peer::{self, Ask, Relayed, Summary, Tell};
 use crate::relay;
 use crate::state::{Committed, StateClient, StateError};
 use crate::term::LEASE_MS;
@@ -29,13 +31,17 @@
 /// Longest wait between two epochs; arrivals and reports bring them sooner.
 const EPOCH: Duration = Duration::from_millis(1_000);
 /// Shortest time between two epochs.
-const EPOCH_LEAST: Duration = Duration::from_millis(60);
+const EPOCH_LEAST: Duration = Duration::from_millis(120);
 /// Longest wait between two summaries of a part; news bring them sooner.
 const SUMMARY: Duration = Duration::from_millis(200);
 /// Shortest time between two summaries.
-const SUMMARY_LEAST: Duration = Duration::from_millis(50);
+const SUMMARY_LEAST: Duration = Duration::from_millis(100);
 /// Time between two messages through the store.
 const RELAY: Duration = Duration::from_millis(600);
+/// Most machines in one rental, as the cloud has it.
+const MOST_RENTED: u32 = 50;
+/// Least time between two writes of completions.
+const GATHER: Duration = Duration::from_millis(150);
 
 type Waiter = oneshot::Sender<bool>;
 
@@ -75,9 +81,12 @@
     wake_confirm: Notify,
     confirms: RefCell<Vec<Waiter>>,
     accepts: RefCell<Vec<Submission>>,
-    relaying: RefCell<HashMap<NodeId, Steady>>,
+    relaying: RefCell<HashMap<NodeId, (Steady, Tell)>>,
     /// User requests being served.
     pub(crate) serving: Cell<usize>,
+    meter: Meter,
+    /// Microseconds that the last epoch took.
+    epoch_us: Cell<u64>,
 }
 
 impl Service {
@@ -110,6 +119,8 @@
             accepts: RefCell::default(),
             relaying: RefCell::default(),
             serving: Cell::new(0),
+            meter: Meter::default(),
+            epoch_us: Cell::new(0),
         }
     }
 
@@ -159,6 +170,7 @@
         spawn_local(self.clone().write_finished());
         spawn_local(self.clone().write_accepted());
         spawn_local(self.clone().serve_confirms());
+        spawn_local(self.clone().describe());
         self.follow_store().await;
         Ok(())
     }
@@ -217,7 +229,8 @@
         let brought = {
             let mut core = self.core.borrow_mut();
             core.store_ok = got.is_ok();
-            core.apply(&got?, sent).ok_or(StateError::TooOld)?
+            let got = got?;
+            self.meter.time(Work::Watch, || core.apply(&got, sent)).ok_or(StateError::TooOld)?
         };
         self.note(&brought);
         Ok(())
@@ -247,7 +260,7 @@
         let (tx, rx) = oneshot::channel();
         self.confirms.borrow_mut().push(tx);
         self.wake_confirm.notify_one();
-        matches!(timeout(Duration::from_millis(1_700), rx).await, Ok(Ok(true)))
+        matches!(timeout(Duration::from_millis(900), rx).await, Ok(Ok(true)))
     }
 
     async fn serve_confirms(self: Rc<Self>) {
@@ -368,7 +381,8 @@
             let summary = {
                 let mut core = self.core.borrow_mut();
                 core.part.news = false;
-                core.part.summary(self.now())
+                let now = self.now();
+                self.meter.time(Work::Summary, || core.part.summary(now))
             };
             let told = if leader == self.me {
                 Some(self.take_summary(summary))
@@ -383,28 +397,26 @@
                 }
                 told
             };
-            if let Some(Tell::Plan(plan)) = told {
-                self.follow_plan(*plan);
+            if let Some(tell) = told {
+                let mut core = self.core.borrow_mut();
+                self.meter.time(Work::Plan, || core.take_answer(tell));
             }
             sleep(SUMMARY_LEAST).await;
         }
     }
 
-    fn follow_plan(&self, plan: Plan) {
-        let mut core = self.core.borrow_mut();
-        if core.part.follow(plan) {
-            drop(core);
-            // The leader learns soon that the plan is followed.
-            debug!("follows a new plan");
-        }
-    }
-
     /// As the leader, takes a summary and answers with the plan.
     fn take_summary(&self, summary: Summary) -> Tell {
-        let (tell, changed) = self.core.borrow_mut().take_summary(self.now(), summary);
+        let now = self.now();
+        let mut core = self.core.borrow_mut();
+        let (tell, changed) = self.meter.time(Work::Taken, || core.take_summary(now, summary));
+        drop(core);
         if changed {
             self.wake_lead.notify_one();
         }
+        if !self.core.borrow().part.finished.is_empty() {
+            self.wake_finish.notify_one();
+        }
         tell
     }
 
@@ -454,7 +466,8 @@
             self.confirms.borrow_mut().push(oneshot::channel().0);
             self.wake_confirm.notify_one();
         }
-        let answer = core.on_report(self.now(), &report);
+        let now = self.now();
+        let answer = self.meter.time(Work::Report, || core.on_report(now, &report));
         if core.part.news {
             self.wake_part.notify_one();
         }
@@ -481,7 +494,7 @@
                 .map(|m| Guard { path: ledger::member_key(self.me), stamp: m.1 })
         };
         let Some(guard) = guard else { return };
-        self.relay(leader, guard, &peer::encode(summary)).await;
+        self.relay(leader, guard, &peer::encode(&Relayed::Summary(summary.clone()))).await;
     }
 
     async fn relay(&self, to: NodeId, guard: Guard, message: &[u8]) {
@@ -518,13 +531,17 @@
                 relay::join(parts.map(|(_, (text, _))| text.as_str()))
             };
             let Some(message) = message else { continue };
-            if let Some(summary) = peer::decode::<Summary>(&message) {
-                if summary.node == NodeId(from) && self.core.borrow().lead.is_some() {
-                    self.relaying.borrow_mut().insert(NodeId(from), self.now());
-                    self.take_summary(summary);
+            match peer::decode::<Relayed>(&message) {
+                Some(Relayed::Summary(summary))
+                    if summary.node == NodeId(from) && self.core.borrow().lead.is_some() =>
+                {
+                    let tell = self.take_summary(summary);
+                    self.relaying.borrow_mut().insert(NodeId(from), (self.now(), tell));
                 }
-            } else if let Some(plan) = peer::decode::<Plan>(&message) {
-                self.follow_plan(plan);
+                Some(Relayed::Tell(tell)) => {
+                    self.core.borrow_mut().take_answer(tell);
+                }
+                _ => {}
             }
         }
     }
@@ -532,15 +549,16 @@
     /// As the leader, sends plans through the store to those that sent their summaries so.
     async fn relay_plans(&self) {
         let now = self.now();
-        let to: Vec<NodeId> = {
+        let to: Vec<(NodeId, bool)> = {
             let mut relaying = self.relaying.borrow_mut();
-            relaying.retain(|_, at| now.since(*at) < 5_000);
-            relaying.keys().copied().collect()
+            relaying.retain(|_, (at, _)| now.since(*at) < 5_000);
+            relaying.iter().map(|(n, (_, t))| (*n, matches!(t, Tell::SendWhole))).collect()
         };
-        for node in to {
+        for (node, whole) in to {
             let message = self.core.borrow().plan_for(node, now);
             if let Some((plan, guard)) = message {
-                self.relay(node, guard, &peer::encode(&plan)).await;
+                let tell = if whole { Tell::SendWhole } else { Tell::Plan(Box::new(plan)) };
+                self.relay(node, guard, &peer::encode(&Relayed::Tell(tell))).await;
             }
         }
     }
@@ -549,7 +567,6 @@
 
     async fn lead(self: Rc<Self>) {
         let mut relayed = self.now();
-        let mut described = self.now();
         loop {
             let _ = timeout(EPOCH, self.wake_lead.notified()).await;
             self.lead_once().await;
@@ -558,22 +575,30 @@
                 relayed = now;
                 self.relay_plans().await;
             }
-            if now.since(described) >= 10_000 {
-                described = now;
-                self.describe();
-            }
-            sleep(EPOCH_LEAST).await;
+            // The leader always has time for its workers and users: an epoch that costs much
+            // makes the next one wait.
+            sleep(EPOCH_LEAST.max(Duration::from_micros(self.epoch_us.get() * 4))).await;
         }
     }
 
-    fn describe(&self) {
-        self.core.borrow_mut().with_lead(self.moment(), |lead, ctx| {
-            info!(term = %lead.term, state = %lead.describe(ctx), "epoch");
-        });
+    /// Tells operators now and then what is done and how long it takes.
+    async fn describe(self: Rc<Self>) {
+        loop {
+            sleep(Duration::from_secs(10)).await;
+            info!(work = %self.meter.line(), "measured");
+            self.core.borrow_mut().with_lead(self.moment(), |lead, ctx| {
+                info!(term = %lead.term, state = %lead.describe(ctx), "epoch");
+            });
+        }
     }
 
     async fn lead_once(&self) {
-        let found = self.core.borrow_mut().epoch(self.moment());
+        let moment = self.moment();
+        let (found, took) = {
+            let mut core = self.core.borrow_mut();
+            self.meter.timed(Work::Epoch, || core.epoch(moment))
+        };
+        self.epoch_us.set(took);
         let Some((epoch, term)) = found else { return };
         let renew = {
             let core = self.core.borrow();
@@ -602,7 +627,10 @@
             }
         }
         let granted = !epoch.is_empty();
-        self.core.borrow_mut().publish(self.moment(), epoch, term);
+        let moment = self.moment();
+        let mut core = self.core.borrow_mut();
+        self.meter.time(Work::Publish, || core.publish(moment, epoch, term));
+        drop(core);
         if granted {
             self.wake_part.notify_one();
         }
@@ -619,10 +647,10 @@
     async fn rent_and_return(self: Rc<Self>) {
         let mut priced: Option<Steady> = None;
         let mut listed = Steady(0);
-        let mut open: Option<(Rental, Offer)> = None;
+        let mut open: VecDeque<(Rental, Offer)> = VecDeque::new();
         let mut counter = 0u32;
         loop {
-            sleep(Duration::from_millis(400)).await;
+            sleep(Duration::from_millis(if open.is_empty() { 400 } else { 50 })).await;
             let leading = {
                 let core = self.core.borrow();
                 core.lead.as_ref().filter(|_| core.rights.may_lead(self.now())).map(|l| l.term)
@@ -638,17 +666,23 @@
             }
             let Some(term) = leading else {
                 // A rental that is still open shows up in the list for the next leader.
-                open = None;
+                open.clear();
                 continue;
             };
             self.return_machines().await;
-            if open.is_none() {
-                open = self.next_rental(term, &mut counter);
+            if open.is_empty() {
+                open = self.next_rentals(term, &mut counter);
+            }
+            // A rental whose outcome is not known is repeated under its name, after the others.
+            if let Some((rental, offer)) = open.pop_front()
+                && !self.rent(&rental, &offer).await
+            {
+                open.push_back((rental, offer));
             }
-            if let Some((rental, offer)) = &open
-                && self.rent(rental, offer).await
+            if open.is_empty()
+                && let Some(lead) = &mut self.core.borrow_mut().lead
             {
-                open = None;
+                lead.decide_anew();
             }
             let lag = (self.settings.params.cloud.list_lag_s * 1000.0) as u64;
             if self.now().since(listed) > lag.clamp(2_000, 10_000) {
@@ -682,18 +716,22 @@
         true
     }
 
-    fn next_rental(&self, term: Term, counter: &mut u32) -> Option<(Rental, Offer)> {
-        let core = self.core.borrow();
-        let (offer, number) = core.lead.as_ref()?.to_rent()?;
-        *counter += 1;
-        let rental = Rental {
-            hire: format!("r-{term}-{}-{counter}", core.life),
-            hull: offer.hull.clone(),
-            yard: offer.zone.clone(),
-            loaners: offer.spot,
-            number: number.min(50),
+    fn next_rentals(&self, term: Term, counter: &mut u32) -> VecDeque<(Rental, Offer)> {
+        let mut core = self.core.borrow_mut();
+        let life = core.life;
+        let wanted = core.lead.as_mut().map(Lead::to_rent).unwrap_or_default();
+        let rental = |(offer, number): (Offer, u32)| {
+            *counter += 1;
+            let rental = Rental {
+                hire: format!("r-{term}-{life}-{counter}"),
+                hull: offer.hull.clone(),
+                yard: offer.zone.clone(),
+                loaners: offer.spot,
+                number: number.min(MOST_RENTED),
+            };
+            (rental, offer)
         };
-        Some((rental, offer))
+        wanted.into_iter().map(rental).collect()
     }
 
     /// Makes a rental; true once its outcome is known.
@@ -704,13 +742,13 @@
         let Some(lead) = &mut core.lead else {
             return !matches!(result, Err(CloudError::Unknown | CloudError::Refused(_)));
         };
-        let known = match result {
+        match result {
             Ok(ids) => {
                 info!(hull = %offer.hull, zone = %offer.zone, spot = offer.spot, asked = rental.number, got = ids.len(), "rented");
                 if (ids.len() as u32) < rental.number {
                     lead.market.refused(offer, now);
                 }
-                lead.rented(now, &ids, offer);
+                lead.fleet.rented(now, &ids, offer);
                 true
             }
             Err(CloudError::NoCapacity) => {
@@ -724,19 +762,14 @@
                 true
             }
             Err(_) => false,
-        };
-        if known {
-            lead.forget_rental(offer);
-            self.wake_lead.notify_one();
         }
-        known
     }
 
     async fn return_machines(&self) {
         let ids = self
             .core
             .borrow_mut()
-            .with_lead(self.moment(), |lead, ctx| lead.to_return(ctx))
+            .with_lead(self.moment(), |lead, ctx| lead.fleet.to_return(ctx))
             .unwrap_or_default();
         if ids.is_empty() {
             return;
@@ -759,7 +792,7 @@
             after = page.hosts.last().map(|h| h.r#ref.clone());
             self.core.borrow_mut().with_lead(self.moment(), |lead, ctx| {
                 for host in &page.hosts {
-                    lead.listed(ctx, host);
+                    lead.fleet.listed(ctx, host);
                 }
             });
             if !page.truncated || after.is_none() {
@@ -774,24 +807,32 @@
     async fn write_finished(self: Rc<Self>) {
         loop {
             let _ = timeout(Duration::from_millis(500), self.wake_finish.notified()).await;
-            while let Some(txn) = self.next_finished() {
+            sleep(GATHER).await;
+            let now = self.now();
+            self.store.set_leading(self.core.borrow().lead.is_some());
+            let next = self.core.borrow_mut().finished_txn(now);
+            let Some(mut txn) = next else { continue };
+            // Jobs that somebody else wrote meanwhile come next time, the others go now.
+            for _ in 0..3 {
                 match self.store.commit(&txn).await {
-                    Ok(Committed::Yes(stamp)) => self.apply_own(&txn, stamp),
-                    Ok(Committed::No(_)) | Err(StateError::Unknown) => {
-                        if self.pull(Duration::ZERO).await.is_err() {
-                            sleep(Duration::from_millis(200)).await;
-                        }
+                    Ok(Committed::Yes(stamp)) => {
+                        self.apply_own(&txn, stamp);
+                        break;
+                    }
+                    Ok(Committed::No(failed)) => txn.leave_out(&failed),
+                    Err(e) => {
+                        debug!(error = %e, "completions not written");
+                        let _ = self.pull(Duration::ZERO).await;
+                        break;
                     }
-                    Err(_) => sleep(Duration::from_millis(300)).await,
+                }
+                if txn.apply.is_empty() {
+                    break;
                 }
             }
         }
     }
 
-    fn next_finished(&self) -> Option<Txn> {
-        self.core.borrow_mut().finished_txn()
-    }
-
     /// Queues a submission for the next group commit and waits for what becomes of it.
     pub(crate) async fn accept(&self, spec: JobSpec) -> Accepting {
         let (tx, rx) = oneshot::channel();
--- a/src/state.rs
+++ b/src/state.rs
@@ -56,6 +56,11 @@
     pub fn new(rate: f64, burst: f64, now: Instant) -> Self {
         Bucket { rate, burst: burst.max(1.0), level: burst.max(1.0), at: now }
     }
+    /// Refills at another rate from now on.
+    pub fn set_rate(&mut self, rate: f64) {
+        self.rate = rate.max(0.1);
+        self.burst = self.rate.max(1.0);
+    }
     /// Takes `n`, going into debt if need be, and says how long to wait for that.
     pub fn take(&mut self, n: f64, now: Instant) -> Duration {
         let gone = now.saturating_duration_since(self.at).as_secs_f64();
@@ -77,8 +82,13 @@
     requests: RefCell<Bucket>,
     writes: RefCell<Bucket>,
     limit: Duration,
+    write_rps: f64,
+    nodes: f64,
 }
 
+/// Part of the budget of changes that the leader takes; the others share what is left.
+const LEADERS_PART: f64 = 0.65;
+
 impl StateClient {
     /// A client that uses one `nodes`th of the budgets.
     pub fn new(addr: SocketAddr, limits: &StateLimits, nodes: u32) -> Self {
@@ -91,9 +101,18 @@
             requests: RefCell::new(Bucket::new(r, r, now)),
             writes: RefCell::new(Bucket::new(w, w, now)),
             limit: Duration::from_millis(1500),
+            write_rps: limits.write_rps * 0.85,
+            nodes: f64::from(nodes.max(1)),
         }
     }
 
+    /// Takes the leader's part of the budget of changes, or another node's.
+    pub fn set_leading(&self, leads: bool) {
+        let others = (1.0 - LEADERS_PART) / (self.nodes - 1.0).max(1.0);
+        let part = if leads { LEADERS_PART } else { others };
+        self.writes.borrow_mut().set_rate(self.write_rps * part);
+    }
+
     async fn call(&self, method: &str, path: &str, body: &[u8]) -> Result<Answer, StateError> {
         self.pace(0).await;
         Self::checked(self.http.call(method, path, body, self.limit).await)
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -3,6 +3,7 @@
 use serde::de::{self, Deserializer, IgnoredAny, MapAccess, SeqAccess, Visitor};
 use serde::{Deserialize, Serialize};
 use std::fmt;
+use std::rc::Rc;
 use thiserror::Error;
 
 use crate::model::{Attempt, JobId, MachineId, Revision, Session, StoreLease, TaskId, Term};
@@ -121,7 +122,7 @@
     #[serde(deserialize_with = "amount")]
     pub mem_gb: f64,
     /// Image.
-    pub bundle: String,
+    pub bundle: Rc<str>,
     /// Size of the image.
     #[serde(deserialize_with = "amount")]
     pub size_gb: f64,
@@ -553,6 +554,16 @@
     pub apply: Vec<Change>,
 }
 
+impl Txn {
+    /// Leaves out the changes of these keys, with their conditions.
+    pub fn leave_out(&mut self, keys: &[String]) {
+        self.guards.retain(|g| !keys.contains(&g.path));
+        self.apply.retain(|c| match c {
+            Change::Set { path, .. } | Change::Drop { path } => !keys.contains(path),
+        });
+    }
+}
+
 /// The answer to a transaction.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct TxnAnswer {
