--- a/tests/sim/check.rs
+++ b/tests/sim/check.rs
@@ -8,10 +8,43 @@
 /// Something that happened.
 #[derive(Clone, Debug)]
 pub enum Event {
-    Starts { task: Task, machine: usize, team: usize, cores: u64 },
-    Leaves { task: Task, machine: usize },
-    Cancelled { job: u64 },
-    CalledDone { job: u64, done: u32, of: u32 },
+    Starts {
+        task: Task,
+        machine: usize,
+        team: usize,
+        cores: u64,
+    },
+    Leaves {
+        task: Task,
+        machine: usize,
+    },
+    Cancelled {
+        job: u64,
+    },
+    CalledDone {
+        job: u64,
+        done: u32,
+        of: u32,
+    },
+    /// A job is accepted.
+    Accepted {
+        job: u64,
+    },
+    /// Some task of a job begins to run.
+    Began {
+        job: u64,
+    },
+    /// With troubles over, a node answers whether it knows an accepted job.
+    Answered {
+        job: u64,
+        node: usize,
+        known: bool,
+    },
+    /// With troubles over, a node does not answer about an accepted job.
+    Unanswered {
+        job: u64,
+        node: usize,
+    },
     Tick,
 }
 
@@ -21,9 +54,19 @@
     on: BTreeMap<Task, BTreeMap<usize, (usize, u64)>>,
     cancelled: BTreeMap<u64, u64>,
     done: BTreeSet<u64>,
+    /// Since when a node has not answered about a job.
+    unanswered: BTreeMap<(u64, usize), u64>,
+    /// Jobs that have not begun, and when they were accepted.
+    waiting: BTreeMap<u64, u64>,
+    begun: BTreeSet<u64>,
     pub broken: Vec<String>,
 }
 
+/// Time after which a job about which no question is answered counts as forgotten.
+const FORGOTTEN_MS: u64 = 75_000;
+/// Time within which every job has to begin.
+const STARVED_MS: u64 = 240_000;
+
 impl Checker {
     pub fn new(cancel_ms: u64, team_limit: u64) -> Self {
         Checker {
@@ -32,6 +75,9 @@
             on: BTreeMap::new(),
             cancelled: BTreeMap::new(),
             done: BTreeSet::new(),
+            unanswered: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            begun: BTreeSet::new(),
             broken: Vec::new(),
         }
     }
@@ -74,7 +120,36 @@
                 }
                 self.done.insert(job);
             }
+            Event::Accepted { job } => {
+                if !self.begun.contains(&job) {
+                    self.waiting.entry(job).or_insert(at);
+                }
+            }
+            Event::Began { job } => {
+                self.begun.insert(job);
+                self.waiting.remove(&job);
+            }
+            Event::Answered { job, node, known } => {
+                self.unanswered.remove(&(job, node));
+                if !known {
+                    self.broken.push(format!("{at}: {job} is forgotten by {node}"));
+                }
+            }
+            Event::Unanswered { job, node } => {
+                let since = *self.unanswered.entry((job, node)).or_insert(at);
+                if at > since + FORGOTTEN_MS {
+                    self.broken.push(format!("{at}: {node} has not answered for {job}"));
+                }
+            }
             Event::Tick => {
+                let cancelled = &self.cancelled;
+                self.waiting.retain(|job, since| {
+                    if at > *since + STARVED_MS && !cancelled.contains_key(job) {
+                        self.broken.push(format!("{at}: {job} has not begun"));
+                        return false;
+                    }
+                    true
+                });
                 let tasks: Vec<Task> = self.on.keys().copied().collect();
                 for task in tasks {
                     self.late(at, task);
--- a/tests/sim/main.rs
+++ b/tests/sim/main.rs
@@ -10,8 +10,9 @@
 use world::{Fault, World};
 
 use Fault::{
-    CancelAt, CrashAll, CrashLeader, CutNode, CutWorker, CutZones, Hang, LoseReplies, RefuseStore,
-    SlowStore, StoreOutage, WorkerDies,
+    Alone, Blink, BlinkAll, CancelAt, CrashAll, CrashLeader, CutNode, CutWorker, CutZones, Deaf,
+    Hang, LateCopies, LoseReplies, PeersRefuse, Reborn, RefuseStore, SlowStore, StoreOutage,
+    WorkerDies,
 };
 
 /// Plays a day of 200 s and expects that no rule breaks and that all that was asked for ends.
@@ -62,6 +63,44 @@
                 (40_000, CrashLeader),
             ],
         ),
+        ("a deaf machine", vec![(20_000, Deaf(1, 40_000))]),
+        ("a deaf machine at a takeover", vec![(20_000, Deaf(1, 60_000)), (21_000, CrashLeader)]),
+        (
+            "a deaf machine and a cancellation",
+            vec![(20_000, Deaf(1, 50_000)), (21_000, CancelAt(3)), (30_000, CrashAll)],
+        ),
+        ("late copies of reports", vec![(5_000, LateCopies(60_000)), (22_000, WorkerDies(1))]),
+        (
+            "late copies at takeovers",
+            vec![(5_000, LateCopies(60_000)), (21_000, CrashLeader), (33_000, CrashAll)],
+        ),
+        (
+            "late copies of a machine that lost its lease",
+            vec![
+                (5_000, LateCopies(60_000)),
+                (20_000, CutWorker(1, 14_000, true)),
+                (24_000, Blink),
+            ],
+        ),
+        ("a process is back at once", vec![(20_000, Blink), (26_000, Blink)]),
+        (
+            "back at once in mid-election",
+            vec![(20_000, CrashLeader), (22_900, BlinkAll), (23_300, BlinkAll)],
+        ),
+        ("a machine is back at once", vec![(20_000, Reborn(1)), (24_000, Reborn(2))]),
+        (
+            "a machine is back at once, with late copies",
+            vec![(5_000, LateCopies(50_000)), (20_000, Reborn(1)), (21_000, CrashLeader)],
+        ),
+        ("the leader has only its workers", vec![(20_000, Alone(45_000))]),
+        (
+            "the leader has only its workers, and a job is cancelled",
+            vec![(20_000, Alone(60_000)), (21_000, CancelAt(3)), (30_000, CancelAt(1))],
+        ),
+        (
+            "peers refuse each other in an outage",
+            vec![(18_000, PeersRefuse(40_000)), (20_000, StoreOutage(12_000))],
+        ),
     ];
     for (name, faults) in cases {
         for seed in 1..=3 {
@@ -72,7 +111,7 @@
 
 #[test]
 fn rules_hold_through_random_failures() {
-    for seed in 100..112 {
+    for seed in 100..124 {
         let faults = world::random_faults(seed);
         play(&format!("random {faults:?}"), seed, &faults);
     }
@@ -102,7 +141,28 @@
             1,
         ),
     ];
-    for (what, history, want) in cases {
+    let asked = |from: u64, to: u64, known: Option<bool>| -> Vec<(u64, Event)> {
+        let ask = |at| match known {
+            Some(known) => (at, Event::Answered { job: 1, node: 0, known }),
+            None => (at, Event::Unanswered { job: 1, node: 0 }),
+        };
+        (from..to).step_by(5_000).map(ask).collect()
+    };
+    let accepted = |at| (at, Event::Accepted { job: 1 });
+    let more: Vec<Case> = vec![
+        ("answered", asked(0, 90_000, Some(true)), 0),
+        ("not answered for a while", asked(0, 75_001, None), 0),
+        ("never answered", asked(0, 80_001, None), 1),
+        ("said to be unknown", asked(0, 1, Some(false)), 1),
+        ("begins", vec![accepted(0), (9, Event::Began { job: 1 }), (250_000, Event::Tick)], 0),
+        ("never begins", vec![accepted(0), (240_001, Event::Tick)], 1),
+        (
+            "cancelled",
+            vec![accepted(0), (9, Event::Cancelled { job: 1 }), (250_000, Event::Tick)],
+            0,
+        ),
+    ];
+    for (what, history, want) in cases.into_iter().chain(more) {
         let mut checker = Checker::new(30_000, 16);
         for (at, event) in history {
             checker.see(at, event);
--- a/tests/sim/store.rs
+++ b/tests/sim/store.rs
@@ -114,6 +114,10 @@
         Some(Committed::Yes(Revision(self.revision)))
     }
 
+    pub fn has(&self, key: &str) -> bool {
+        self.items.contains_key(key)
+    }
+
     pub fn changes(&self, after: Revision) -> Changes {
         let first = self.log.partition_point(|n| n.stamp <= after);
         Changes { epoch: Revision(self.revision), news: self.log[first..].to_vec() }
--- a/tests/sim/worker.rs
+++ b/tests/sim/worker.rs
@@ -71,6 +71,14 @@
         self.leave(|_| true)
     }
 
+    /// Restarts at once: nothing is left, and it counts from 1 again.
+    pub fn reborn(&mut self, now: u64) -> Vec<Change> {
+        let out = self.leave(|_| true);
+        (self.session, self.tally, self.baton) = (1, 0, 0);
+        (self.answered, self.in_flight, self.next) = (now, None, now + 300);
+        out
+    }
+
     fn leave(&mut self, which: impl Fn(&Task) -> bool) -> Vec<Change> {
         let mut out = Vec::new();
         self.tasks.retain(|(task, _), t| {
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -47,6 +47,20 @@
     CutNode(u64, bool),
     /// The user cancels a job, and is told.
     CancelAt(u64),
+    /// A machine's reports arrive; no answer reaches it.
+    Deaf(usize, u64),
+    /// Every report is delivered once more, up to well over a lease late.
+    LateCopies(u64),
+    /// The leader's process is back in a fraction of a second.
+    Blink,
+    /// All processes are.
+    BlinkAll,
+    /// A machine is back at once with nothing on it and counts from 1 again.
+    Reborn(usize),
+    /// The leader loses the store and the other controllers, not its workers.
+    Alone(u64),
+    /// Controllers refuse each other's connections.
+    PeersRefuse(u64),
 }
 
 struct Node {
@@ -74,6 +88,8 @@
 
 enum Message {
     Report(usize, usize, Report),
+    /// A late copy of a report to that node; nobody waits for its answer.
+    Copy(usize, Report),
     Reply(usize, u64, Answer),
     Summary(usize, usize, Box<Summary>),
     Tell(usize, Tell),
@@ -97,6 +113,9 @@
     refused: Vec<(usize, u64)>,
     slow_until: u64,
     lossy_until: u64,
+    copies_until: u64,
+    deaf: Vec<(usize, u64)>,
+    calm: u64,
     late: Vec<(u64, Txn)>,
     messages: BTreeMap<(u64, u64), Message>,
     sent: u64,
@@ -149,6 +168,27 @@
     }
 }
 
+impl Fault {
+    /// How long it lasts, with what it holds back.
+    fn lasts(self) -> u64 {
+        match self {
+            Fault::StoreOutage(ms)
+            | Fault::RefuseStore(ms)
+            | Fault::SlowStore(ms)
+            | Fault::LoseReplies(ms)
+            | Fault::CutWorker(_, ms, _)
+            | Fault::Hang(_, ms)
+            | Fault::CutZones(ms, _)
+            | Fault::CutNode(ms, _)
+            | Fault::Deaf(_, ms)
+            | Fault::Alone(ms)
+            | Fault::PeersRefuse(ms) => ms,
+            Fault::LateCopies(ms) => ms + 25_000,
+            _ => 0,
+        }
+    }
+}
+
 /// A few failures at random times, some of them at once.
 pub fn random_faults(seed: u64) -> Vec<(u64, Fault)> {
     let mut rng = SmallRng::seed_from_u64(seed);
@@ -157,7 +197,7 @@
             let ms = rng.random_range(4_000..25_000);
             let hold = rng.random_bool(0.5);
             let worker = rng.random_range(0..4);
-            let fault = match rng.random_range(0..12) {
+            let fault = match rng.random_range(0..19) {
                 0 => Fault::CrashAll,
                 1 => Fault::StoreOutage(ms),
                 2 => Fault::RefuseStore(ms),
@@ -169,6 +209,13 @@
                 8 => Fault::CutZones(ms, hold),
                 9 => Fault::CutNode(ms, hold),
                 10 => Fault::CancelAt(rng.random_range(1..7)),
+                11 => Fault::Deaf(worker, ms),
+                12 => Fault::LateCopies(ms),
+                13 => Fault::Blink,
+                14 => Fault::BlinkAll,
+                15 => Fault::Reborn(worker),
+                16 => Fault::Alone(ms),
+                17 => Fault::PeersRefuse(ms),
                 _ => Fault::CrashLeader,
             };
             (rng.random_range(5_000..70_000), fault)
@@ -192,6 +239,9 @@
             refused: Vec::new(),
             slow_until: 0,
             lossy_until: 0,
+            copies_until: 0,
+            deaf: Vec::new(),
+            calm: 0,
             late: Vec::new(),
             messages: BTreeMap::new(),
             sent: 0,
@@ -204,6 +254,9 @@
     }
 
     pub fn run(&mut self, faults: &[(u64, Fault)], until: u64) {
+        // Troubles are over for users once the last one and all that it held back is.
+        let ends = |f: &(u64, Fault)| f.0 + f.1.lasts() + BACK_MS;
+        self.calm = faults.iter().map(ends).max().unwrap_or(0);
         let mut faults = faults.iter().peekable();
         while self.now < until {
             while let Some((_, fault)) = faults.next_if(|f| f.0 <= self.now) {
@@ -227,15 +280,36 @@
         self.nodes.iter().position(leads).unwrap_or(0)
     }
 
-    fn crash(&mut self, node: usize) {
-        self.nodes[node] = Err(self.now + BACK_MS);
+    fn crash(&mut self, node: usize, back_ms: u64) {
+        self.nodes[node] = Err(self.now + back_ms);
     }
 
     fn fail(&mut self, fault: Fault) {
         let now = self.now;
         match fault {
-            Fault::CrashLeader => self.crash(self.leader()),
-            Fault::CrashAll => (0..3).for_each(|n| self.crash(n)),
+            Fault::CrashLeader => self.crash(self.leader(), BACK_MS),
+            Fault::CrashAll => (0..3).for_each(|n| self.crash(n, BACK_MS)),
+            Fault::Blink => self.crash(self.leader(), 200),
+            Fault::BlinkAll => (0..3).for_each(|n| self.crash(n, 200)),
+            Fault::Deaf(w, ms) => self.deaf.push((w, now + ms)),
+            Fault::LateCopies(ms) => self.copies_until = now + ms,
+            Fault::Reborn(w) => {
+                let changes = self.workers[w].reborn(now);
+                self.see(w, changes);
+            }
+            Fault::Alone(ms) => {
+                let node = self.leader();
+                let mut rest: BTreeSet<Place> =
+                    (0..3).filter(|n| *n != node).map(Place::Node).collect();
+                rest.insert(Place::Store);
+                self.cut([Place::Node(node)].into(), rest, ms, false);
+            }
+            Fault::PeersRefuse(ms) => {
+                for n in 0..3 {
+                    let rest = (n + 1..3).map(Place::Node).collect();
+                    self.cut([Place::Node(n)].into(), rest, ms, false);
+                }
+            }
             Fault::StoreOutage(ms) => self.store.outage(now, ms),
             Fault::RefuseStore(ms) => self.refused.push((self.leader(), now + ms)),
             Fault::SlowStore(ms) => self.slow_until = now + ms,
@@ -310,6 +384,7 @@
             let event = match change {
                 Change::Runs(t) => {
                     let task = (t.job.0, t.index);
+                    self.checker.see(self.now, Event::Began { job: t.job.0 });
                     Event::Starts { task, machine: worker, team: 0, cores: 4 }
                 }
                 Change::Leaves(t) => Event::Leaves { task: (t.job.0, t.index), machine: worker },
@@ -342,6 +417,12 @@
             }
             self.see(w, changes);
             if let Some((node, report)) = self.workers[w].report(now) {
+                if now < self.copies_until && self.rng.random_bool(0.5) {
+                    let late = now + self.rng.random_range(1_000..25_000);
+                    self.sent += 1;
+                    let copy = Message::Copy(node, report.clone());
+                    self.messages.insert((late, self.sent), copy);
+                }
                 let message = Message::Report(w, node, report);
                 self.send(Place::Worker(w), Place::Node(node), message);
             }
@@ -376,6 +457,13 @@
                 let reply = Message::Reply(w, report.tally, answer);
                 self.send(Place::Node(n), Place::Worker(w), reply);
             }
+            Message::Copy(n, report) => {
+                if let Ok(node) = &mut self.nodes[n] {
+                    let steady = node.moment(now).steady;
+                    node.core.on_report(steady, &report);
+                }
+            }
+            Message::Reply(w, ..) if self.deaf.iter().any(|d| d.0 == w && now < d.1) => {}
             Message::Reply(w, tally, answer) => {
                 let changes = self.workers[w].answer(now, tally, answer);
                 self.see(w, changes);
@@ -618,11 +706,44 @@
             return;
         }
         for id in self.jobs.keys().copied().collect::<Vec<_>>() {
+            if self.store.has(&willowshore::ledger::job_key(JobId(id))) {
+                self.checker.see(now, Event::Accepted { job: id });
+            }
             if now >= id * 3_500 && !self.told.contains(&id) {
                 let n = self.rng.random_range(0..3);
                 self.ask(n, id);
             }
         }
+        if now >= self.calm && now.is_multiple_of(5_000) {
+            for id in self.jobs.keys().copied().collect::<Vec<_>>() {
+                (0..3).for_each(|n| self.poll(n, id));
+            }
+        }
+    }
+
+    /// A user asks a node about an accepted job, as the service answers: from what can no
+    /// longer change, else only when the store confirms it.
+    fn poll(&mut self, n: usize, id: u64) {
+        let accepted = self.store.has(&willowshore::ledger::job_key(JobId(id)));
+        if !accepted || self.wanted_cancels.contains(&id) {
+            return;
+        }
+        let confirmed = self.reaches_store(n);
+        if confirmed {
+            self.pull(n);
+        }
+        let answer = match &self.nodes[n] {
+            Ok(node) if node.core.ledger.ended.contains_key(&JobId(id)) => Some(true),
+            Ok(node) if node.core.loaded && confirmed => {
+                Some(node.core.ledger.jobs.contains_key(&JobId(id)))
+            }
+            _ => None,
+        };
+        let event = match answer {
+            Some(known) => Event::Answered { job: id, node: n, known },
+            None => Event::Unanswered { job: id, node: n },
+        };
+        self.checker.see(self.now, event);
     }
 
     fn ask(&mut self, n: usize, id: u64) {
