Ready cores follow offered load; lost starts are placed anew; tests of late copies and deaf machines

Cause: cores kept ready for urgent brief work followed the highest queue seen, so the queue from before the first machines were up kept hundreds of ordinary machines for minutes. Change: what brief work would use if all of it began on arrival, its mean and deviation. A start that was lost was not placed anew until the leader took its grant back: found by the new table in part, fixed.

--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -53,18 +53,40 @@
 #[derive(Clone, Debug, Default)]
 pub struct Market {
     refused: HashMap<Offer, Steady>,
-    /// Cores that brief work used or wanted: peaks of urgent work, decaying slowly and fast,
-    /// and mean of all.
-    slow_peak: f64,
-    peak: f64,
-    mean: f64,
+    /// Cores that urgent brief work would use if all of it began on arrival.
+    urgent: Average,
+    /// The same of all brief work.
+    brief: Average,
     at: Steady,
 }
 
-/// Times in which a remembered peak halves: spot machines are cheap enough to be kept longer.
-const PEAK_HALVES_S: f64 = 100.0;
-const SLOW_PEAK_HALVES_S: f64 = 300.0;
-/// Time over which the mean is taken.
+/// Mean and spread of an amount over time, old values fading.
+#[derive(Clone, Debug, Default)]
+struct Average {
+    weight: f64,
+    sum: f64,
+    squares: f64,
+}
+
+impl Average {
+    fn note(&mut self, amount: f64, keep: f64) {
+        let new = 1.0 - keep;
+        self.weight = self.weight * keep + new;
+        self.sum = self.sum * keep + amount * new;
+        self.squares = self.squares * keep + amount * amount * new;
+    }
+    fn mean(&self) -> f64 {
+        if self.weight > 0.0 { self.sum / self.weight } else { 0.0 }
+    }
+    fn deviation(&self) -> f64 {
+        let mean = self.mean();
+        let squares = if self.weight > 0.0 { self.squares / self.weight } else { 0.0 };
+        (squares - mean * mean).max(0.0).sqrt()
+    }
+}
+
+/// Times over which amounts fade, of urgent brief work and of all.
+const URGENT_OVER_S: f64 = 120.0;
 const MEAN_OVER_S: f64 = 60.0;
 /// How long an offer that was refused is not asked for again.
 const REFUSED_MS: u64 = 15_000;
@@ -78,10 +100,10 @@
 /// Work that runs shorter than this part of a boot time is brief: by the time a machine
 /// rented for it is up, it has found room or missed its time.
 const BRIEF: f64 = 0.8;
-/// What of the peak of urgent brief work is kept ready on spot machines and on any, and how
-/// much of the mean of all brief work.
-const READY_SPOT: f64 = 1.0;
-const READY_ANY: f64 = 0.5;
+/// How many deviations above the mean of urgent brief work are kept ready on spot machines
+/// and on any, and how much of the mean of all brief work.
+const READY_SPOT: f64 = 2.0;
+const READY_ANY: f64 = 0.7;
 const READY_MEAN: f64 = 1.1;
 
 /// The decision.
@@ -99,21 +121,21 @@
         self.refused.insert(offer.clone(), now.plus(REFUSED_MS));
     }
 
-    /// Notes the cores that brief work uses and wants now, and how many of them are urgent.
+    /// Notes the cores that brief work would use now if all of it began on arrival, and how
+    /// many of them are urgent. What queues does not count: a queue from before the first
+    /// machines were up says nothing about what comes.
     pub fn note(&mut self, now: Steady, brief: Cores, urgent: Cores) {
-        let dt = now.since(self.at) as f64 / 1000.0;
+        let dt = (now.since(self.at) as f64 / 1000.0).min(5.0);
         self.at = now;
-        let peak = |old: f64, halves: f64| (old * 0.5f64.powf(dt / halves)).max(urgent.amount());
-        self.peak = peak(self.peak, PEAK_HALVES_S);
-        self.slow_peak = peak(self.slow_peak, SLOW_PEAK_HALVES_S);
-        let keep = (-dt / MEAN_OVER_S).exp();
-        self.mean = self.mean * keep + brief.amount() * (1.0 - keep);
+        self.urgent.note(urgent.amount(), (-dt / URGENT_OVER_S).exp());
+        self.brief.note(brief.amount(), (-dt / MEAN_OVER_S).exp());
     }
 
     /// Cores to keep for brief work, on spot machines or on any.
-    fn ready(&self, spot: bool) -> f64 {
-        let peak = if spot { self.slow_peak * READY_SPOT } else { self.peak * READY_ANY };
-        peak.max(self.mean * READY_MEAN)
+    pub fn ready(&self, spot: bool) -> f64 {
+        let above = if spot { READY_SPOT } else { READY_ANY };
+        let urgent = self.urgent.mean() + above * self.urgent.deviation();
+        urgent.max(self.brief.mean() * READY_MEAN)
     }
 
     fn open(&self, offer: &Offer, now: Steady) -> bool {
@@ -170,7 +192,7 @@
         let each = Need::of(model.spec).cores.amount();
         let tasks = |spot| {
             let lacking = (market.ready(spot) - in_use).max(0.0);
-            if each > 0.0 { (lacking / each).ceil() as u32 } else { 0 }
+            if each > 0.0 { (lacking / each).round() as u32 } else { 0 }
         };
         let (on_spot, on_any) = (tasks(true), tasks(false));
         let ready = |tasks| Want { tasks, ..model.clone() };
@@ -338,10 +360,13 @@
         let f = flavors();
         let job = spec(1, 4);
         let mut market = Market::default();
-        market.note(Steady(0), Cores(16_000), Cores(16_000));
+        market.note(Steady(100), Cores(16_000), Cores(16_000));
         let d = decide(Steady(1_000), &f, &[], &[want(&job, 1, true)], &market);
         assert_eq!(rented(&d), 2);
         assert!(d.rent.iter().all(|(o, _)| o.spot));
+        for s in 1..900 {
+            market.note(Steady(s * 1_000), Cores(0), Cores(0));
+        }
         let d = decide(Steady(900_000), &f, &[held("n-1", true, 0.0)], &[], &market);
         assert_eq!(d, Decision::default(), "nothing is wanted any more");
     }
@@ -353,7 +378,7 @@
         let all = [held("n-1", true, 70.0), held("n-2", false, 70.0), held("n-3", true, 10.0)];
         let d = decide(Steady(1_000), &f, &all, &[], &market);
         assert_eq!(d.retire, [MachineId::new("n-2"), MachineId::new("n-1")]);
-        market.note(Steady(1_000), Cores(16_000), Cores(16_000));
+        market.note(Steady(1_000), Cores(14_000), Cores(16_000));
         let d = decide(Steady(1_000), &f, &all, &[], &market);
         assert_eq!(d.retire, [MachineId::new("n-2")], "the dearest goes first");
     }
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -755,8 +755,9 @@
                 *r = r.saturating_sub(need.cores.0 * u64::from(wanted));
             }
             let brief = capacity::is_brief(ctx.flavors, &job.spec, self.run_s(job));
-            if brief {
-                let cores = need.cores.0 * u64::from(wanted);
+            let run_s = self.run_s(job);
+            if brief && (ctx.wall.0.saturating_sub(job.at.0) as f64) < run_s * 1000.0 {
+                let cores = need.cores.0 * u64::from(job.spec.pieces).min(can);
                 brief_cores.0 += cores;
                 urgent.0 += if job.spec.urgency <= Urgency::High { cores } else { 0 };
             }
@@ -1032,19 +1033,34 @@
             .collect()
     }
 
-    /// A line for operators: what is held, granted and open.
+    /// A line for operators: what is held, granted and open, and what cores do.
     pub fn describe(&self, ctx: &Context<'_>) -> String {
         let on = self.fleet.on_machines();
+        let (mut runs, mut fetches, mut free) = (Cores(0), Cores(0), Cores(0));
+        for (t, s) in &on {
+            let cores = ctx.ledger.jobs.get(&t.job).map_or(Cores(0), |j| Need::of(&j.spec).cores);
+            let sum = if s.stage == PieceStage::Fetching { &mut fetches } else { &mut runs };
+            sum.0 += cores.0;
+        }
+        let rooms = self.fleet.rooms(ctx);
+        rooms.iter().for_each(|r| free.0 += r.free.cores.0);
         format!(
-            "machines={} up={} owners={} tasks={} granted={} limbo={} unsettled={} jobs={}",
+            "machines={} up={} spot={} owners={} tasks={} granted={} limbo={} unsettled={} jobs={} \
+             cores: run={:.0} fetch={:.0} free={:.0} ready={:.0}/{:.0}",
             self.fleet.machines.len(),
             self.fleet.machines.values().filter(|m| m.up).count(),
+            self.fleet.machines.values().filter(|m| m.up && m.offer.spot).count(),
             self.fleet.owners.len(),
             on.len(),
             self.granted.keys().filter(|t| !on.contains_key(t)).count(),
             self.limbo.len(),
             self.fleet.unsettled.len(),
             ctx.ledger.jobs.len(),
+            runs.amount(),
+            fetches.amount(),
+            free.amount(),
+            self.market.ready(false),
+            self.market.ready(true),
         )
     }
 
@@ -1302,6 +1318,16 @@
         assert!(tell(&mut core, 1_900, 1, both(&[])), "n-1 says itself that it is not there");
     }
 
+    #[test]
+    fn an_unsettled_machine_proves_nothing_about_its_tasks() {
+        // A late copy may show a task where it is no longer, and another one not show it.
+        let mut core = leader();
+        let seen = |tasks| vec![view("n-1", false, tasks), view("n-2", true, &[])];
+        assert!(!tell(&mut core, 1_100, 0, vec![]));
+        assert!(!tell(&mut core, 1_300, 1, seen(&[0])));
+        assert!(!tell(&mut core, 1_500, 1, seen(&[])));
+    }
+
     #[test]
     fn a_task_in_limbo_waits_for_every_machine_that_may_have_it() {
         let mut core = leader();
--- a/src/part.rs
+++ b/src/part.rs
@@ -135,9 +135,9 @@
         Room::of(what, tasks, &self.images, env.flavors, env.ledger, open && self.usable(env.now))
     }
 
-    /// Takes the tasks of a report; says whether anything changed, and whether other tasks are
-    /// on the machine than before.
-    fn take_tasks(&mut self, env: &Surroundings<'_>, report: &Report) -> (bool, bool) {
+    /// Takes the tasks of a report; says whether anything changed, whether other tasks are on
+    /// the machine than before, and which are no longer.
+    fn take_tasks(&mut self, env: &Surroundings<'_>, report: &Report) -> (bool, bool, Vec<TaskId>) {
         let on = || report.pieces.iter().filter(|p| p.stage != PieceStage::Ended);
         let same = on().count() == self.tasks.len()
             && on().all(|p| {
@@ -146,7 +146,7 @@
                     .is_some_and(|h| *h == Held { attempt: p.r#try, stage: p.stage })
             });
         if same {
-            return (false, false);
+            return (false, false, Vec::new());
         }
         // A start that this report does not show was in a response that the worker dropped:
         // it has one report in flight at a time, so replacing the list forgets it rightly.
@@ -163,6 +163,7 @@
         let tasks: BTreeMap<TaskId, Held> =
             on().map(|p| (p.piece, Held { attempt: p.r#try, stage: p.stage })).collect();
         let others = !tasks.keys().eq(self.tasks.keys());
+        let left = self.tasks.keys().filter(|t| !tasks.contains_key(t)).copied().collect();
         self.tasks = tasks;
         for p in on() {
             if let Some(job) = env.ledger.jobs.get(&p.piece.job) {
@@ -172,7 +173,7 @@
         if let Some(f) = env.flavors.get(&*self.hull) {
             self.trim_images(f.local_gb);
         }
-        (true, others)
+        (true, others, left)
     }
 }
 
@@ -528,7 +529,7 @@
         (machine.session, machine.settled, machine.warned) = state;
         machine.heard = now;
         let before = machine.tasks.len();
-        let (changed, others) = machine.take_tasks(env, report);
+        let (changed, others, left) = machine.take_tasks(env, report);
         let new = machine.changed == 0;
         self.news |= others || turned || new;
         // Stages matter to the leader only in passing, so they are told without haste.
@@ -536,6 +537,8 @@
             machine.changed = next;
         }
         let freed = machine.tasks.len() < before || turned || machine.shun_until != shunned;
+        // A start that was lost, or a task that failed, has to go somewhere else.
+        self.assign |= left.iter().any(|t| self.may_start(env.ledger, *t));
         if !self.gangs.is_empty() {
             let shown = report.pieces.iter().map(|p| (p.piece, p.r#try));
             self.spent.extend(shown.filter(|p| self.gangs.contains(&p.1)));
@@ -807,3 +810,171 @@
         .map(|p| kill(p.piece, p.r#try))
         .collect()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::config::Settings;
+    use crate::config::tests::EXAMPLE;
+    use crate::core::{Core, Moment};
+    use crate::ledger::{self, Accepted, Brought, LeadRecord, MachineGroup, MachineRecord};
+    use crate::model::{Revision, StoreLease, Wall};
+    use crate::peer::OwnerNews;
+    use crate::place::tests::flavor;
+    use crate::wire::tests::spec;
+    use crate::wire::{self, Item};
+
+    const LIFE: Incarnation = Incarnation(5);
+    const TERM: Term = Term(3);
+    const TASK: TaskId = TaskId { job: JobId(1), index: 0 };
+
+    /// A node in a term of another leader, which owns n-1 of two machines and may start a task.
+    fn node(owner: u8) -> Core {
+        let mut core = Core::new(Rc::new(Settings::parse(EXAMPLE).unwrap()), LIFE);
+        core.set_flavors(&wire::Flavors { hulls: vec![flavor("small", 8.0, 64.0)] });
+        let lead = LeadRecord { node: NodeId(1), life: Incarnation(9), term: TERM };
+        let record = MachineRecord {
+            hull: "small".into(),
+            zone: "a".into(),
+            spot: false,
+            up: true,
+            gone: None,
+        };
+        let group = MachineGroup { machines: vec![(MachineId::new("n-1"), record)] };
+        let item = |path: &str, v| Item { path: path.into(), v, stamp: Revision(9) };
+        let accepted = Accepted { spec: spec(1, 2), at: Wall(1) };
+        core.load(
+            &[
+                item(&ledger::job_key(JobId(1)), wire::to_value(&accepted)),
+                item(ledger::LEAD_KEY, wire::to_value(&lead)),
+                item(ledger::TERM_KEY, wire::to_value(&ledger::TermRecord { term: TERM })),
+                item(&ledger::machine_key(0), wire::to_value(&group)),
+            ],
+            Revision(9),
+        );
+        core.rights.lease = Some(StoreLease(1));
+        let moment = Moment { steady: Steady(0), wall: Wall(0) };
+        core.follow(moment, &Brought { lead: true, ..Brought::default() });
+        let grant = Grant { job: 1, tasks: Ranges::span(0, 1), zone: None, attempt: None };
+        core.part.follow(Plan {
+            term: TERM,
+            life: LIFE,
+            seq: PlanSeq(1),
+            clock_ms: 1,
+            heard: 0,
+            owners: OwnerNews {
+                set: vec![(MachineId::new("n-1"), NodeId(owner))],
+                ..OwnerNews::default()
+            },
+            body: Some(PlanBody { grants: vec![grant], ..PlanBody::default() }),
+        });
+        core
+    }
+
+    fn report(tenure: u64, tally: u64, baton: u64, stage: Option<PieceStage>) -> Report {
+        let piece = |stage| Piece {
+            piece: TASK,
+            r#try: Attempt(7),
+            stage,
+            cause: (stage == PieceStage::Ended).then_some(Cause::Done),
+        };
+        Report {
+            host: MachineId::new("n-1"),
+            endpoint: String::new(),
+            hull: "small".into(),
+            yard: "a".into(),
+            loaners: false,
+            tenure: Session(tenure),
+            tally,
+            baton: Term(baton),
+            warning_s: None,
+            pieces: stage.map(piece).into_iter().collect(),
+        }
+    }
+
+    /// Has a report answered at that time; says whether with 200, and how many tasks it starts.
+    fn hear(core: &mut Core, ms: u64, report: &Report) -> (bool, usize) {
+        core.rights.confirm_renewal(Steady(ms));
+        core.rights.confirm_sync(Steady(ms));
+        match core.on_report(Steady(ms), report) {
+            ReportAnswer::Take(reply) => {
+                let starts = |o: &&Order| matches!(o, Order::Start { .. });
+                (true, reply.orders.iter().filter(starts).count())
+            }
+            _ => (false, 0),
+        }
+    }
+
+    #[test]
+    fn late_copies_change_nothing_but_what_they_completed() {
+        use PieceStage::{Ended, Running};
+        let mut core = node(0);
+        assert!(hear(&mut core, 1_000, &report(2, 9, 3, Some(Running))).0);
+        let told = core.part.summary(Steady(2_000));
+        let copies = [
+            report(2, 9, 3, Some(Running)),
+            report(2, 8, 3, None),
+            report(1, 99, 3, None),
+            report(2, 3, 2, Some(Ended)),
+        ];
+        for copy in &copies {
+            assert_eq!(hear(&mut core, 2_000, copy), (false, 0), "{copy:?}");
+        }
+        let now = core.part.summary(Steady(2_000));
+        assert_eq!(now.machines, told.machines, "nothing freed, settled or revived");
+        assert_eq!(now.answered, told.answered, "its silence goes on");
+        assert_eq!(now.finished, [(1, Ranges::span(0, 1))], "a completed task stays completed");
+        assert!(hear(&mut core, 3_000, &report(2, 10, 3, Some(Running))).0);
+    }
+
+    #[test]
+    fn a_machine_that_never_shows_the_token_gets_no_answer_for_a_lease() {
+        // Seen as a deaf machine: its reports kept it alive in the leader's eyes, so that
+        // every proof of where a task is waited for it. (ms, tenure, tally, baton, answered)
+        type Reports = &'static [(u64, u64, u64, u64, bool)];
+        let cases: [Reports; 3] = [
+            &[
+                (0, 1, 1, 2, true),
+                (1_500, 1, 2, 2, true),
+                (3_000, 1, 3, 2, true),
+                (4_500, 1, 4, 2, false),
+                (17_000, 2, 9, 2, false),
+                (19_000, 2, 10, 2, true),
+            ],
+            &[(0, 1, 1, 2, true), (9_000, 2, 2, 2, false), (10_000, 2, 3, 3, true)],
+            &[(0, 1, 1, 2, true), (500, 1, 2, 3, true), (9_000, 2, 3, 3, true)],
+        ];
+        for (n, case) in cases.iter().enumerate() {
+            let mut core = node(0);
+            for (ms, tenure, tally, baton, want) in *case {
+                let got = hear(&mut core, *ms, &report(*tenure, *tally, *baton, None)).0;
+                assert_eq!(got, *want, "{n}: {ms}");
+            }
+        }
+    }
+
+    #[test]
+    fn starts_go_to_machines_that_hear_and_not_twice_to_one_that_misses_them() {
+        let mut core = node(0);
+        assert_eq!(hear(&mut core, 0, &report(1, 1, 2, None)), (true, 0), "token not shown");
+        assert_eq!(hear(&mut core, 500, &report(1, 2, 3, None)), (true, 1));
+        assert_eq!(hear(&mut core, 1_500, &report(1, 3, 3, None)), (true, 0), "not shown");
+        let view = core.part.summary(Steady(1_500)).machines.remove(0);
+        assert!(view.shun_ms > 0 && view.tasks.is_empty(), "{view:?}");
+        assert_eq!(hear(&mut core, 5_000, &report(1, 4, 3, None)), (true, 1), "tried again");
+        let shown = report(1, 5, 3, Some(PieceStage::Ended));
+        assert_eq!(hear(&mut core, 6_000, &shown), (true, 0), "it is done, though not on record");
+    }
+
+    #[test]
+    fn only_strays_that_show_the_token_are_told_of() {
+        // A late copy must not bring a machine back or move it to another owner.
+        let mut core = node(1);
+        for (ms, tally, baton, told) in
+            [(0, 1, 2, 0), (1_000, 2, 2, 0), (2_000, 3, 3, 1), (3_000, 2, 2, 1)]
+        {
+            hear(&mut core, ms, &report(1, tally, baton, None));
+            assert_eq!(core.part.summary(Steady(ms)).strays.len(), told, "{ms}");
+        }
+    }
+}
