Bound on waiting, workers of a lonely node go to others, images are waited for while machines are full

A job of which no task began within 100 s begins with an eighth of its tasks before others, machines are held back for it where it fits nowhere, and late work gains weight with age. A node that has reached neither store nor peers for 5 s sends each worker away once; in an outage with refused peers they come back and keep their leases.

--- a/src/core.rs
+++ b/src/core.rs
@@ -21,6 +21,9 @@
 /// Time that the leader has to write what other nodes tell it of.
 const LEFT_TO_LEADER_MS: u64 = 3_000;
 
+/// How long a node reaches nobody before it sends its workers to others.
+const ALONE_MS: u64 = 5_000;
+
 /// A moment by both clocks.
 #[derive(Clone, Copy, Debug)]
 pub struct Moment {
@@ -54,6 +57,8 @@
     pub loaded: bool,
     /// Whether the last request to the store was served.
     pub store_ok: bool,
+    /// When another controller was last heard.
+    pub peer_heard: Steady,
 }
 
 fn context<'a>(
@@ -89,6 +94,7 @@
             flavors: Flavors::new(),
             loaded: false,
             store_ok: false,
+            peer_heard: Steady(0),
             settings,
             nodes,
             me,
@@ -250,6 +256,14 @@
         })
     }
 
+    /// Whether this node has reached neither the store nor another controller for a while. It
+    /// cannot tell that from an outage in which connections between controllers fail, too.
+    pub fn alone(&self, now: Steady) -> bool {
+        self.nodes.len() > 1
+            && now.since(self.peer_heard) > ALONE_MS
+            && self.rights.synced_at().is_some_and(|at| now.since(at) > ALONE_MS)
+    }
+
     /// Answers a worker's report.
     pub fn on_report(&mut self, now: Steady, report: &Report) -> ReportAnswer {
         let env = Surroundings {
@@ -258,6 +272,7 @@
             ledger: &self.ledger,
             flavors: &self.flavors,
             nodes: &self.nodes,
+            alone: self.alone(now),
             lease_ms: self.settings.worker_lease_ms(),
             report_s: self.settings.params.workers.report_s,
         };
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -7,6 +7,7 @@
 //! losing a controller or moving a machine takes a new term of the same leader.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::rc::Rc;
 
 use rustc_hash::{FxHashMap, FxHashSet};
 
@@ -35,9 +36,23 @@
 const REBALANCE_MS: u64 = 30_000;
 /// Keys over which granted ranges are spread by job, so that an epoch rewrites few of them.
 const GRANT_KEYS: u32 = 16;
-/// Tasks for which the first record of a job's grants speaks; it doubles from there, so that
-/// a job is recorded a few times only.
-const RECORD_AHEAD: u32 = 16;
+/// Part of all cores below which free ones count as none to spare.
+const FULL_BELOW: f64 = 0.15;
+/// How many times the fetch of its image a task waits for a machine that has it.
+const PATIENCE: f64 = 1.0;
+/// How long a job waits at most before its first tasks go before others.
+const STARVED_MS: u64 = 100_000;
+/// The rank that it has until it has begun.
+const STARVED_RANK: u32 = 2;
+/// Importance per core that it has at least until then.
+const STARVED_WEIGHT: f64 = 1_000.0;
+/// Part of its tasks that it begins with.
+const STARVED_PART: u32 = 8;
+/// Most machines that are held back for such jobs at a time.
+const STARVED_ROOMS: usize = 4;
+/// Tasks of a job that are put on record before they are granted, so that
+/// a job whose tasks are granted one by one is not written each time.
+const RECORD_AHEAD: u32 = 8;
 /// Most keys of machines that an epoch writes.
 const MACHINE_KEYS: usize = 4;
 /// Least time between two writes of machines.
@@ -89,6 +104,10 @@
     grants: Vec<(TaskId, Granted)>,
     /// How many tasks of each job are held, and how many may be running somewhere.
     counts: FxHashMap<JobId, (u32, u32)>,
+    /// Whether little room is left.
+    full: bool,
+    /// Cores of machines that have an image.
+    warm: FxHashMap<Rc<str>, Cores>,
 }
 
 /// One epoch's outcome, to be written before it is published.
@@ -129,6 +148,8 @@
     waits: HashMap<JobId, Waits>,
     runs: HashMap<String, (f64, f64)>,
     seen_running: FxHashMap<TaskId, Steady>,
+    /// When a job's tasks were last given machines.
+    placed: FxHashMap<JobId, Steady>,
     decision: capacity::Decision,
     decided: Option<Steady>,
     machines_written: Steady,
@@ -173,6 +194,7 @@
             waits: HashMap::new(),
             runs: HashMap::new(),
             seen_running: FxHashMap::default(),
+            placed: FxHashMap::default(),
             decision: capacity::Decision::default(),
             decided: None,
             machines_written: Steady(0),
@@ -244,11 +266,15 @@
         let on = fleet.on_machines();
         self.learn(ctx, &on);
         self.settle(ctx, &on, fleet.unsettled.is_empty());
+        let rooms = self.rooms(ctx, &fleet, &on);
+        let (full, warm) = warmth(ctx, &rooms);
         let filling = Filling {
             used: self.team_use(ctx, &fleet, &on),
-            rooms: self.rooms(ctx, &fleet, &on),
+            rooms,
             grants: Vec::new(),
             counts: self.counts(&on),
+            full,
+            warm,
         };
         let filling = self.grant(ctx, &fleet, &on, filling);
         let mut epoch = Epoch { grants: filling.grants, ..Epoch::default() };
@@ -340,6 +366,7 @@
         self.granted.retain(|t, _| ledger.may_run(*t));
         self.revoked.retain(|t, _| ledger.may_run(*t));
         self.recorded.retain(|job, _| ledger.jobs.contains_key(job));
+        self.placed.retain(|job, _| ledger.jobs.contains_key(job));
         self.ahead.retain(|t| ledger.may_run(*t));
         let next = PlanSeq(self.seq.0 + 1);
         let mut unused: Vec<TaskId> = Vec::new();
@@ -373,7 +400,7 @@
             let first = rooms.iter().position(|r| owner(r) == Some(node)).unwrap_or(rooms.len());
             let len = rooms[first..].iter().take_while(|r| owner(r) == Some(node)).count();
             let part = &mut rooms[first..first + len];
-            place::spread(&job.spec, &Need::of(&job.spec), part, zone, count);
+            place::spread(&job.spec, &Need::of(&job.spec), part, zone, count, false);
         }
         rooms
     }
@@ -536,6 +563,7 @@
                 .then(b.weight.total_cmp(&a.weight))
                 .then(a.job.cmp(&b.job))
         });
+        self.hold_back(ctx, &demands, &counts, &mut filling);
         for d in order {
             let share = admission.shares.get(&d.job).copied().unwrap_or(0);
             let (held, limbo) = counts.get(&d.job).copied().unwrap_or_default();
@@ -561,6 +589,42 @@
         filling
     }
 
+    /// Keeps machines from others that jobs need which have waited long and fit nowhere: else
+    /// small tasks would take every core that a large one waits for.
+    fn hold_back(
+        &self,
+        ctx: &Context<'_>,
+        demands: &[Demand],
+        counts: &FxHashMap<JobId, (u32, u32)>,
+        filling: &mut Filling,
+    ) {
+        let mut held = 0;
+        for d in demands {
+            let Some(job) = ctx.ledger.jobs.get(&d.job) else { continue };
+            let need = Need::of(&job.spec);
+            let running = counts.get(&d.job).map_or(0, |c| c.0);
+            if held >= STARVED_ROOMS
+                || !starved(ctx, job, running)
+                || filling.rooms.iter().any(|r| r.takes(&job.spec, &need, None))
+            {
+                continue;
+            }
+            let could = |r: &Room| {
+                let offered = ctx.flavors.get(&*r.hull).map(Need::offered);
+                r.open
+                    && offered.is_some_and(|o| need.fits(&o))
+                    && place::allowed(&job.spec, &r.hull, &r.zone, r.spot)
+            };
+            let best = (0..filling.rooms.len())
+                .filter(|&i| could(&filling.rooms[i]))
+                .max_by_key(|&i| filling.rooms[i].free.cores);
+            if let Some(i) = best {
+                filling.rooms[i].open = false;
+                held += 1;
+            }
+        }
+    }
+
     /// Grants a gang whole or not at all.
     #[allow(clippy::too_many_arguments)]
     fn grant_gang(
@@ -618,6 +682,7 @@
             .filter(|t| self.is_free(ctx, on, *t))
             .take(more.min(fits))
             .collect();
+        let warm_only = self.waits_for_image(ctx, job, free.len(), filling);
         let mut zones = ZoneRule::of(&job.spec);
         let mut chosen: Vec<usize> = Vec::new();
         if zones.binds() {
@@ -637,7 +702,11 @@
                 chosen.push(i);
             }
         } else {
-            chosen = place::spread(&job.spec, &need, &mut filling.rooms, None, free.len());
+            let rooms = &mut filling.rooms;
+            chosen = place::spread(&job.spec, &need, rooms, None, free.len(), warm_only);
+        }
+        if !chosen.is_empty() {
+            self.placed.insert(id, ctx.now);
         }
         for (task, i) in free.into_iter().zip(chosen) {
             let room = &filling.rooms[i];
@@ -651,6 +720,23 @@
         }
     }
 
+    /// Whether a job's tasks had better wait for machines that have their image: the machines
+    /// are full, so a fetch takes cores from work that could run; others will soon leave
+    /// room on enough machines that have it; and it has not waited longer than a fetch takes.
+    fn waits_for_image(&self, ctx: &Context<'_>, job: &Job, tasks: usize, f: &Filling) -> bool {
+        if job.spec.urgency < Urgency::Normal || !f.full {
+            return false;
+        }
+        let rates = ctx.flavors.values().map(|f| f.fetch_gb_per_s);
+        let fetch_s = job.spec.size_gb / rates.fold(0.01, f64::max);
+        let since = self.placed.get(&job.spec.r#ref).map_or(0.0, |at| ctx.now.since(*at) as f64);
+        let age = ctx.wall.0.saturating_sub(job.at.0) as f64;
+        let waited = if since > 0.0 { since.min(age) } else { age };
+        let warm = f.warm.get(&job.spec.bundle).copied().unwrap_or(Cores(0));
+        let need = Need::of(&job.spec).cores.0 * tasks as u64;
+        waited < fetch_s * PATIENCE * 1000.0 && warm.0 >= need
+    }
+
     /// How many more such tasks a team's limit allows.
     fn within_limit(&self, ctx: &Context<'_>, team: usize, need: &Need, f: &Filling) -> usize {
         let Some(limits) = ctx.settings.params.teams.get(team) else { return usize::MAX };
@@ -704,10 +790,20 @@
             // A job that fails everywhere keeps the value it would have, but only one task
             // tries.
             let tries = if failing.contains(id) { runnable.min(1) } else { runnable };
+            let mut rank = ranks.get(id).copied().unwrap_or(u32::MAX);
+            let mut weight = weight(ctx, job, self.run_s(job), required.contains(id));
+            let mut tries = tries;
+            let starved = starved(ctx, job, held);
+            if starved && job.spec.shape != Shape::Gang {
+                // Nobody waits without bound: it begins with a few tasks before others go on.
+                rank = rank.min(STARVED_RANK);
+                weight = weight.max(STARVED_WEIGHT);
+                tries = tries.min(job.spec.pieces.div_ceil(STARVED_PART));
+            }
             demands.push(Demand {
                 job: *id,
-                rank: ranks.get(id).copied().unwrap_or(u32::MAX),
-                weight: weight(ctx, job, self.run_s(job), required.contains(id)),
+                rank,
+                weight,
                 curve: match job.spec.shape {
                     Shape::Gang => Curve::Step,
                     Shape::Sweep | Shape::Service => Curve::Concave { fade: FADE },
@@ -716,7 +812,7 @@
                 cores: Need::of(&job.spec).cores,
                 min: held,
                 max: held + tries,
-                required: required.contains(id),
+                required: starved || required.contains(id),
             });
         }
         demands
@@ -850,7 +946,7 @@
             let pieces = ctx.ledger.jobs.get(&t.job).map_or(t.index + 1, |j| j.spec.pieces);
             let ranges = wider.entry(t.job).or_insert_with(|| known.cloned().unwrap_or_default());
             // Tasks are granted from the first on, so what comes next is known.
-            let until = (t.index + 1).max(RECORD_AHEAD).max(2 * t.index).min(pieces);
+            let until = (t.index + 1 + RECORD_AHEAD).min(pieces);
             ranges.extend(t.index..until);
         }
         let mut keys: BTreeSet<u32> = BTreeSet::new();
@@ -1155,7 +1251,8 @@
             let work = f64::from(job.remaining()) * run_s / due;
             match due - age - run_s {
                 // Too late for its time: work that can still make it goes first.
-                late if late < -0.5 * due => 0.6,
+                // In the end age wins, so that nothing waits for ever.
+                late if late < -0.5 * due => 0.6 + ((age - 2.0 * due) / 60.0).clamp(0.0, 6.0),
                 late if late < 0.0 => 0.8,
                 // Among those that can make it, little work first: more jobs make it so.
                 _ => 1.0 + (1.0 + 0.3 * age / due) / (0.3 + work),
@@ -1166,6 +1263,11 @@
     base * pressing * if required { 1.5 } else { 1.0 }
 }
 
+/// Whether a job has waited long without a task of it having begun.
+fn starved(ctx: &Context<'_>, job: &Job, held: u32) -> bool {
+    held == 0 && job.progress.done.is_empty() && ctx.wall.0.saturating_sub(job.at.0) > STARVED_MS
+}
+
 /// Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs.
 fn within_guarantees(ctx: &Context<'_>) -> HashSet<JobId> {
     let mut room: HashMap<&str, Cores> = ctx
@@ -1195,6 +1297,21 @@
     inside
 }
 
+/// Whether machines are nearly full, and how many cores the machines have that hold an image.
+fn warmth(ctx: &Context<'_>, rooms: &[Room]) -> (bool, FxHashMap<Rc<str>, Cores>) {
+    let (mut free, mut all) = (Cores(0), Cores(0));
+    let mut warm: FxHashMap<Rc<str>, Cores> = FxHashMap::default();
+    for r in rooms.iter().filter(|r| r.open) {
+        let total = ctx.flavors.get(&*r.hull).map_or(Cores(0), |f| Cores::offer(f.vcpus));
+        free.0 += r.free.cores.0;
+        all.0 += total.0;
+        for (image, _) in &r.images {
+            warm.entry(image.clone()).or_default().0 += total.0;
+        }
+    }
+    (free.amount() < all.amount() * FULL_BELOW, warm)
+}
+
 /// The key that holds a job's granted ranges.
 fn grant_key(job: JobId) -> u32 {
     (job.0 % u64::from(GRANT_KEYS)) as u32
@@ -1211,7 +1328,6 @@
     use crate::place::tests::flavor;
     use crate::wire::Item;
     use crate::wire::tests::spec;
-    use std::rc::Rc;
 
     const LIFE: Incarnation = Incarnation(5);
 
@@ -1318,6 +1434,35 @@
         assert!(tell(&mut core, 1_900, 1, both(&[])), "n-1 says itself that it is not there");
     }
 
+    #[test]
+    fn nobody_waits_without_bound() {
+        // (age in s, tasks done, held, starved); a job due after 100 s.
+        let cases = [(99, 0, 0, false), (101, 0, 0, true), (101, 1, 0, false), (101, 0, 1, false)];
+        let mut core = leader();
+        for (age_s, done, held, want) in cases {
+            let moment = Moment { steady: Steady(1), wall: Wall(1 + age_s * 1_000) };
+            if let Some(job) = core.ledger.jobs.get_mut(&JobId(1)) {
+                job.progress.done = Ranges::span(0, done);
+            }
+            let got =
+                core.with_lead(moment, |_, ctx| starved(ctx, &ctx.ledger.jobs[&JobId(1)], held));
+            assert_eq!(got, Some(want), "{age_s} {done} {held}");
+        }
+        // Within a rank, age wins in the end over work that is still in time.
+        let weigh = |core: &mut Core, age_s: u64| {
+            let moment = Moment { steady: Steady(1), wall: Wall(1 + age_s * 1_000) };
+            let due = |ctx: &Context<'_>| {
+                let mut job = ctx.ledger.jobs[&JobId(1)].clone();
+                job.spec.due_s = Some(100.0);
+                weight(ctx, &job, 10.0, false)
+            };
+            core.with_lead(moment, |_, ctx| due(ctx)).unwrap()
+        };
+        let fresh = weigh(&mut core, 1);
+        assert!(weigh(&mut core, 120) < fresh, "what is late waits for what is not");
+        assert!(weigh(&mut core, 600) > fresh, "but not for ever");
+    }
+
     #[test]
     fn an_unsettled_machine_proves_nothing_about_its_tasks() {
         // A late copy may show a task where it is no longer, and another one not show it.
--- a/src/part.rs
+++ b/src/part.rs
@@ -218,6 +218,8 @@
     pub flavors: &'a Flavors,
     /// All controllers.
     pub nodes: &'a [NodeInfo],
+    /// Whether this node has reached neither the store nor another controller for a while.
+    pub alone: bool,
     /// Milliseconds for which workers keep tasks without an answer.
     pub lease_ms: u64,
     /// Seconds between two reports of a worker.
@@ -408,6 +410,16 @@
             return ReportAnswer::Refuse;
         }
         match self.owners.get(&report.host).copied() {
+            // Whoever still reaches the store may have taken its machines over. A worker that
+            // comes back found nobody, as in an outage, and is kept alive here.
+            Some(owner)
+                if owner == self.me && env.alone && self.redirects(env.now, &report.host) =>
+            {
+                let next = (usize::from(self.me.0) + 1) % env.nodes.len().max(1);
+                env.nodes
+                    .get(next)
+                    .map_or(ReportAnswer::Refuse, |n| ReportAnswer::Go(n.name.clone()))
+            }
             Some(owner) if owner == self.me => self.on_own_report(env, report),
             Some(owner) if self.redirects(env.now, &report.host) => {
                 match env.nodes.get(usize::from(owner.0)) {
@@ -707,7 +719,7 @@
             let Some(job) = env.ledger.jobs.get(&grant.job()) else { continue };
             let need = Need::of(&job.spec);
             let zone = grant.zone.as_deref();
-            let chosen = place::spread(&job.spec, &need, &mut rooms, zone, tasks.len());
+            let chosen = place::spread(&job.spec, &need, &mut rooms, zone, tasks.len(), false);
             self.unplaced |= chosen.len() < tasks.len();
             let queued = tasks.into_iter().zip(chosen);
             queues.extend(
@@ -966,6 +978,18 @@
         assert_eq!(hear(&mut core, 6_000, &shown), (true, 0), "it is done, though not on record");
     }
 
+    #[test]
+    fn a_node_that_reaches_nobody_sends_its_workers_away_once() {
+        // With the store out and connections between controllers refused, all nodes are alone:
+        // then workers come back and must not lose their leases.
+        let mut core = node(0);
+        assert!(hear(&mut core, 1_000, &report(1, 1, 3, None)).0);
+        let mut answer = |ms, tally| core.on_report(Steady(ms), &report(1, tally, 3, None));
+        assert!(matches!(answer(5_500, 2), ReportAnswer::Take(_)), "not for long yet");
+        assert!(matches!(answer(7_000, 3), ReportAnswer::Go(_)));
+        assert!(matches!(answer(9_000, 4), ReportAnswer::Take(_)), "it found nobody");
+    }
+
     #[test]
     fn only_strays_that_show_the_token_are_told_of() {
         // A late copy must not bring a machine back or move it to another owner.
--- a/src/place.rs
+++ b/src/place.rs
@@ -204,20 +204,21 @@
 
 /// Places up to `count` tasks of a job, each on the machine that is best when its turn comes,
 /// and counts them in there. A job's tasks are alike, so every machine is weighed once, and
-/// again only when it got a task.
+/// again only when it got a task. With `warm_only`, only machines count that have the image.
 pub fn spread(
     spec: &JobSpec,
     need: &Need,
     rooms: &mut [Room],
     zone: Option<&str>,
     count: usize,
+    warm_only: bool,
 ) -> Vec<usize> {
     // Costs are not negative, so their bits sort as they do.
     let bits = |r: &Room| cost(spec, need, r).max(0.0).to_bits();
     let mut open: BinaryHeap<Reverse<(u64, usize)>> = rooms
         .iter()
         .enumerate()
-        .filter(|(_, r)| r.takes(spec, need, zone))
+        .filter(|(_, r)| r.takes(spec, need, zone) && (!warm_only || r.has(&spec.bundle)))
         .map(|(i, r)| Reverse((bits(r), i)))
         .collect();
     let mut chosen = Vec::new();
--- a/src/service.rs
+++ b/src/service.rs
@@ -425,7 +425,11 @@
         let client = self.peers.get(usize::from(node.0))?;
         let body = peer::encode(ask);
         let answer = client.call("POST", "/peer", &body, Duration::from_millis(limit_ms)).await;
-        answer.ok().filter(|a| a.status == 200).and_then(|a| peer::decode(&a.body))
+        let tell = answer.ok().filter(|a| a.status == 200).and_then(|a| peer::decode(&a.body));
+        if tell.is_some() {
+            self.core.borrow_mut().peer_heard = self.now();
+        }
+        tell
     }
 
     async fn answer_peer(&self, path: &str, body: &[u8]) -> Response {
@@ -435,6 +439,7 @@
         let Some(ask) = peer::decode::<Ask>(body) else {
             return Response { close: true, ..Response::empty(400) };
         };
+        self.core.borrow_mut().peer_heard = self.now();
         let tell = match ask {
             Ask::Summary(s) => {
                 if usize::from(s.node.0) >= self.nodes || s.node == self.me {
