A node that the store refuses learns of a new term from its peers

Change: while the store does not tell, peers are asked who leads; a later term ends the old one here too.

--- a/src/api.rs
+++ b/src/api.rs
@@ -109,7 +109,7 @@
         None
     }
 
-    fn others(&self) -> impl Iterator<Item = NodeId> + use<> {
+    pub(crate) fn others(&self) -> impl Iterator<Item = NodeId> + use<> {
         let me = self.me;
         (0..self.settings.params.nodes as u8).map(NodeId).filter(move |n| *n != me)
     }
--- a/src/core.rs
+++ b/src/core.rs
@@ -24,6 +24,9 @@
 /// How long a node reaches nobody before it sends its workers to others.
 const ALONE_MS: u64 = 5_000;
 
+/// How long what the store told counts as fresh for peers.
+const FRESH_MS: u64 = 2_500;
+
 /// A moment by both clocks.
 #[derive(Clone, Copy, Debug)]
 pub struct Moment {
@@ -59,6 +62,8 @@
     pub store_ok: bool,
     /// When another controller was last heard.
     pub peer_heard: Steady,
+    /// A leader of a later term than the replica knows, as a peer told.
+    heard_lead: Option<LeadRecord>,
 }
 
 fn context<'a>(
@@ -95,6 +100,7 @@
             loaded: false,
             store_ok: false,
             peer_heard: Steady(0),
+            heard_lead: None,
             settings,
             nodes,
             me,
@@ -180,6 +186,11 @@
     /// as their later writes fail.
     fn follow_lead(&mut self, now: Moment) {
         self.part.begin_term(self.ledger.term);
+        let known = self.ledger.term;
+        self.heard_lead = self.heard_lead.take().filter(|r| r.term > known);
+        if self.heard_lead.is_some() {
+            return; // What the replica tells is of an earlier term.
+        }
         let mine = self
             .ledger
             .lead
@@ -211,6 +222,31 @@
         }
     }
 
+    /// Who leads, as the store told just now; what peers are told that it does not serve.
+    pub fn lead_for_peer(&self, now: Steady) -> Option<LeadRecord> {
+        let fresh = self.rights.sync_age(now).is_some_and(|age| age < FRESH_MS);
+        let lead = self.ledger.lead.as_ref().map(|(r, _)| r);
+        lead.filter(|r| self.loaded && fresh && r.term == self.ledger.term).cloned()
+    }
+
+    /// Takes a peer's word for who leads. A node that the store refuses would else keep its
+    /// workers under an old token until its right ends, and nothing could start on them.
+    pub fn hear_lead(&mut self, lead: LeadRecord) {
+        if !self.loaded || lead.term <= self.part.term() || lead.node == self.me {
+            return;
+        }
+        info!(term = %lead.term, node = lead.node.0, "a peer tells of a new term");
+        self.part.begin_term(lead.term);
+        self.heard_lead = Some(lead);
+        self.lead = None;
+    }
+
+    /// The leader that this node's part reports to.
+    pub fn leader(&self) -> Option<NodeId> {
+        let known = self.ledger.lead.as_ref().map(|(r, _)| r);
+        self.heard_lead.as_ref().or(known).filter(|_| self.loaded).map(|r| r.node)
+    }
+
     /// The transaction that makes this process known; it replaces its predecessor at once.
     pub fn member_txn(&self, lease: StoreLease) -> Txn {
         let path = ledger::member_key(self.me);
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::ledger::LeadRecord;
 use crate::model::{
     Attempt, Incarnation, JobId, MachineId, NodeId, PlanSeq, Ranges, Session, TaskId, Term,
 };
@@ -215,6 +216,8 @@
     Summary(Summary),
     /// Whether the asked node reaches the store.
     Reach,
+    /// Who leads, asked by a node that the store does not tell.
+    Lead,
     /// A submission handed over.
     Submit(JobSpec),
     /// A query handed over.
@@ -234,6 +237,8 @@
     SendWhole,
     /// Whether the asked node reaches the store.
     Reach(bool),
+    /// Who leads, if the store told it just now.
+    Lead(Option<LeadRecord>),
     /// The answer to a handed-over request: status and CBOR body.
     Answer(u16, Vec<u8>),
 }
--- a/src/service.rs
+++ b/src/service.rs
@@ -175,6 +175,7 @@
         spawn_local(self.clone().write_accepted());
         spawn_local(self.clone().serve_confirms());
         spawn_local(self.clone().describe());
+        spawn_local(self.clone().ask_who_leads());
         self.follow_store().await;
         Ok(())
     }
@@ -359,6 +360,24 @@
         }
     }
 
+    /// While the store does not tell, asks peers whether there is a new term.
+    async fn ask_who_leads(self: Rc<Self>) {
+        loop {
+            sleep(Duration::from_millis(500)).await;
+            let age = self.core.borrow().rights.sync_age(self.now());
+            if age.is_none_or(|a| a < 1_500) {
+                continue;
+            }
+            for node in self.others() {
+                if let Some(Tell::Lead(Some(lead))) = self.ask(node, &Ask::Lead, 300).await {
+                    self.core.borrow_mut().hear_lead(lead);
+                    self.wake_part.notify_one();
+                    break;
+                }
+            }
+        }
+    }
+
     /// Takes the next term.
     async fn take_lead(&self) -> Result<(), StateError> {
         let txn = self.core.borrow().lead_txn().ok_or(StateError::NoLease)?;
@@ -375,10 +394,7 @@
         let (mut relayed, mut tried) = (Steady(0), Steady(0));
         loop {
             let _ = timeout(SUMMARY, self.wake_part.notified()).await;
-            let leader = {
-                let core = self.core.borrow();
-                core.ledger.lead.as_ref().filter(|_| core.loaded).map(|(r, _)| r.node)
-            };
+            let leader = self.core.borrow().leader();
             let Some(leader) = leader else {
                 sleep(SUMMARY_LEAST).await;
                 continue;
@@ -459,6 +475,7 @@
                 self.take_summary(s)
             }
             Ask::Reach => Tell::Reach(self.core.borrow().store_ok),
+            Ask::Lead => Tell::Lead(self.core.borrow().lead_for_peer(self.now())),
             Ask::Submit(spec) => self.handed(self.submit(spec, false).await),
             Ask::Query(job) => self.handed(self.query(job, false).await),
             Ask::Abort(job) => self.handed(self.abort(job, false).await),
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -531,6 +531,9 @@
         }
         self.keep_lease(n);
         self.sync(n);
+        if now.is_multiple_of(500) && !self.reaches_store(n) {
+            self.ask_who_leads(n);
+        }
         self.summarize(n);
         self.lead(n);
     }
@@ -629,6 +632,18 @@
         }
     }
 
+    fn ask_who_leads(&mut self, n: usize) {
+        for m in (0..3).filter(|m| *m != n) {
+            let reached =
+                self.arrival(Place::Node(n), Place::Node(m)).is_some_and(|at| at < self.now + 100);
+            let Ok(peer) = &self.nodes[m] else { continue };
+            let lead = peer.core.lead_for_peer(peer.moment(self.now).steady);
+            if let (true, Some(lead), Ok(node)) = (reached, lead, &mut self.nodes[n]) {
+                node.core.hear_lead(lead);
+            }
+        }
+    }
+
     fn summarize(&mut self, n: usize) {
         if !self.due(n, 2, 200) {
             return;
@@ -636,7 +651,7 @@
         let now = self.now;
         let Ok(node) = &mut self.nodes[n] else { return };
         let steady = node.moment(now).steady;
-        let Some(leader) = node.core.ledger.lead.as_ref().map(|l| usize::from(l.0.node.0)) else {
+        let Some(leader) = node.core.leader().map(|l| usize::from(l.0)) else {
             return;
         };
         let summary = node.core.part.summary(steady);
