--- a/src/lead.rs
+++ b/src/lead.rs
@@ -1439,6 +1439,80 @@
         assert!(tell(&mut core, 1_900, 1, both(&[])), "n-1 says itself that it is not there");
     }
 
+    fn summary(number: u64, base: u64, life: Incarnation) -> Summary {
+        Summary {
+            node: NodeId(1),
+            life,
+            number,
+            base,
+            term: Term(3),
+            followed: PlanSeq(0),
+            echo_ms: 0,
+            up_ms: 0,
+            answered: vec![],
+            machines: vec![view("n-1", true, &[])],
+            strays: vec![],
+            failing: vec![],
+            finished: vec![],
+        }
+    }
+
+    #[test]
+    fn summaries_add_to_one_that_was_taken_or_are_asked_for_whole() {
+        // What a missed summary told could be a task on a machine, or an answer to a worker.
+        let other = Incarnation(8);
+        let mut core = leader();
+        let mut take = |s| core.take_summary(Steady(1_000), s).0;
+        assert!(matches!(take(summary(4, 3, LIFE)), Tell::SendWhole), "nothing is known yet");
+        assert!(!matches!(take(summary(5, 0, LIFE)), Tell::SendWhole));
+        assert!(!matches!(take(summary(6, 5, LIFE)), Tell::SendWhole));
+        assert!(matches!(take(summary(9, 8, LIFE)), Tell::SendWhole), "7 and 8 are missing");
+        let late = Summary { machines: vec![], ..summary(5, 0, LIFE) };
+        take(late);
+        let told = |core: &Core| core.lead.as_ref().map(|l| l.fleet.nodes[&NodeId(1)].number);
+        assert_eq!(told(&core), Some(6), "a late one changes nothing");
+        core.take_summary(Steady(1_100), summary(1, 0, other));
+        let lead = core.lead.as_ref().unwrap();
+        assert!(lead.renew_term.is_some(), "a new life needs a new term");
+        assert_eq!(told(&core), Some(6));
+    }
+
+    #[test]
+    fn what_is_on_record_ahead_is_in_limbo_for_others_only() {
+        let mut core = leader();
+        let accepted = Accepted { spec: spec(2, 20), at: Wall(1) };
+        let item = |path: String, v| Item { path, v, stamp: Revision(10) };
+        let mut brought = Brought::default();
+        let job = item(ledger::job_key(JobId(2)), wire::to_value(&accepted));
+        core.ledger.load(&job, &mut brought);
+        let idle = || vec![view("n-1", true, &[0]), view("n-2", true, &[])];
+        tell(&mut core, 1_100, 0, vec![]);
+        tell(&mut core, 1_300, 1, idle());
+        let summary = core.lead.as_ref().unwrap();
+        let granted: Vec<TaskId> = summary.granted.keys().copied().collect();
+        assert!(!granted.is_empty() && granted.len() < 4, "{granted:?}");
+        let recorded = summary.recorded[&JobId(2)].clone();
+        assert!(recorded.len() as usize > granted.len(), "some are ahead");
+        // The record as the store has it, and the next term of the same leader.
+        let record = EpochRecord { term: Term(3), granted: vec![(JobId(2), recorded.clone())] };
+        let items = [
+            item(ledger::epoch_key(2), wire::to_value(&record)),
+            item(
+                ledger::LEAD_KEY.into(),
+                wire::to_value(&LeadRecord { node: NodeId(0), life: LIFE, term: Term(4) }),
+            ),
+            item(ledger::TERM_KEY.into(), wire::to_value(&TermRecord { term: Term(4) })),
+        ];
+        items.iter().for_each(|i| core.ledger.load(i, &mut brought));
+        let all = core.ledger.granted_before();
+        core.follow(at(2_000), &Brought { lead: true, ..Brought::default() });
+        let limbo = &core.lead.as_ref().unwrap().limbo;
+        let of_two = |t: &&TaskId| t.job == JobId(2);
+        assert_eq!(limbo.iter().filter(of_two).count(), granted.len());
+        assert!(granted.iter().all(|t| limbo.contains(t)));
+        assert_eq!(all.iter().filter(of_two).count(), recorded.len() as usize, "others");
+    }
+
     #[test]
     fn nobody_waits_without_bound() {
         // (age in s, tasks done, held, starved); a job due after 100 s.
