A controller that the store does not serve hands its machines over

Change: summaries tell how long the store has not served a node; after 2.5 s it gets no grants, after 5 s its machines go to others with a new term, unless the leader itself was without the store just before.

--- a/src/core.rs
+++ b/src/core.rs
@@ -80,6 +80,7 @@
         wall: now.wall,
         ledger,
         synced: rights.synced_at().unwrap_or_default(),
+        served_for: rights.served_for(now.steady),
         flavors,
         finished,
         settings,
@@ -222,6 +223,12 @@
         }
     }
 
+    /// What this node tells the leader.
+    pub fn summary(&mut self, now: Steady) -> Summary {
+        let served_ms = self.rights.served_age(now);
+        Summary { served_ms, ..self.part.summary(now) }
+    }
+
     /// Who leads, as the store told just now; what peers are told that it does not serve.
     pub fn lead_for_peer(&self, now: Steady) -> Option<LeadRecord> {
         let fresh = self.rights.sync_age(now).is_some_and(|age| age < FRESH_MS);
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -15,6 +15,9 @@
 
 /// A controller that has not been heard for that long is taken as lost.
 pub const NODE_LOST_MS: u64 = 3_000;
+/// A controller that the store has not served for that long hands its machines over; for half
+/// of it, nothing new is granted to it.
+const UNSERVED_MS: u64 = 5_000;
 /// How long a stray must have been unable to reach its owner before it is moved.
 const STRAY_MS: u64 = 2_500;
 /// The same when it is one of a few, which may be at fault themselves: moving it costs a term.
@@ -37,6 +40,8 @@
     pub echo_ms: u64,
     /// How long its process had been up.
     pub up_ms: u64,
+    /// How long the store had not served it.
+    pub served_ms: u64,
     /// When that was heard.
     pub at: Steady,
     /// Jobs that fail wherever it tries them.
@@ -169,6 +174,7 @@
             followed: PlanSeq(0),
             echo_ms: 0,
             up_ms: 0,
+            served_ms: 0,
             at: now,
             failing: Vec::new(),
             strays: Vec::new(),
@@ -183,6 +189,7 @@
         state.followed = s.followed;
         state.echo_ms = s.echo_ms;
         state.up_ms = s.up_ms;
+        state.served_ms = s.served_ms;
         state.at = now;
         state.failing = s.failing;
         state.strays = s.strays;
@@ -224,6 +231,13 @@
         heard.map(|(id, _)| *id).collect()
     }
 
+    /// Controllers that may own machines: they are heard, and the store serves them. One that it
+    /// refuses knows neither new jobs nor cancellations, and its right to answer ends soon.
+    pub fn able(&self, now: Steady) -> Vec<NodeId> {
+        let served = |id: &NodeId| self.nodes.get(id).is_some_and(|n| n.served_ms < UNSERVED_MS);
+        self.live(now).into_iter().filter(served).collect()
+    }
+
     /// Whether a controller speaks for a machine: it owns it and follows a plan of this term
     /// that says so. What it remembers from an earlier term may be missing in its next
     /// summary without having ended.
@@ -263,6 +277,7 @@
                 let m = self.machines.get(&k.view.id)?;
                 let v = &k.view;
                 let open = ctx.now.since(n.at) < NODE_LOST_MS
+                    && n.served_ms < UNSERVED_MS / 2
                     && ctx.now.since(k.heard) < SILENT_MS
                     && m.draining.is_none()
                     && v.settled
@@ -293,7 +308,7 @@
     }
 
     /// Why a new term is needed, if one is: an owner is lost, or machines cannot reach theirs.
-    pub fn wants_new_term(&self, now: Steady) -> Option<&'static str> {
+    pub fn wants_new_term(&self, now: Steady, served_for: u64) -> Option<&'static str> {
         if now.since(self.began) < NODE_LOST_MS {
             return None;
         }
@@ -301,6 +316,12 @@
         if self.owners.values().any(|(o, _)| !live.contains(o)) {
             return Some("the owner of machines is not heard");
         }
+        let able = self.able(now);
+        // After an outage for all, the others' last word is still of that time.
+        let calm = served_for > UNSERVED_MS + 2_000;
+        if calm && !able.is_empty() && self.owners.values().any(|(o, _)| !able.contains(o)) {
+            return Some("the store does not serve the owner of machines");
+        }
         let all_strays = self
             .nodes
             .iter()
@@ -345,7 +366,7 @@
     /// Gives every machine without an owner one; `next` is the plan that will say so.
     pub fn assign(&mut self, ctx: &Context<'_>, next: PlanSeq) {
         let now = ctx.now;
-        let live = self.live(now);
+        let live = self.able(now);
         let expected = ctx.ledger.members.len().min(ctx.nodes.len());
         if live.is_empty() || (live.len() < expected && now.since(self.began) < 1_000) {
             return;
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -72,6 +72,8 @@
     pub ledger: &'a Ledger,
     /// When the replica was last known to be current.
     pub synced: Steady,
+    /// Milliseconds for which the store has served this node without a break.
+    pub served_for: u64,
     /// Machine types.
     pub flavors: &'a Flavors,
     /// Tasks that completed and are not on record yet.
@@ -299,10 +301,10 @@
         if self.renew_term.is_some() {
             return;
         }
-        self.renew_term = self.fleet.wants_new_term(now);
+        self.renew_term = self.fleet.wants_new_term(now, ctx.served_for);
         let calm = now.since(self.rebalanced.max(self.began)) > REBALANCE_MS;
         if self.renew_term.is_none() && calm && self.fleet.unsettled.is_empty() {
-            let live = self.fleet.live(now);
+            let live = self.fleet.able(now);
             let owners = &self.fleet.owners;
             let idle = live.iter().any(|id| {
                 owners.len() >= 2 * live.len()
@@ -1412,6 +1414,7 @@
             followed: PlanSeq(followed),
             echo_ms: 0,
             up_ms: ms,
+            served_ms: 0,
             answered: machines.iter().map(|m| (m.id.clone(), 0)).collect(),
             machines,
             strays: vec![],
@@ -1449,6 +1452,7 @@
             followed: PlanSeq(0),
             echo_ms: 0,
             up_ms: 0,
+            served_ms: 0,
             answered: vec![],
             machines: vec![view("n-1", true, &[])],
             strays: vec![],
--- a/src/part.rs
+++ b/src/part.rs
@@ -32,7 +32,7 @@
 /// A machine that is back from its owner before that was refused; others timed out.
 const REFUSED_MS: u64 = 3_500;
 /// How often a machine is sent to an owner that refuses it, and how long it waits in between.
-const REDIRECTS: u32 = 4;
+const REDIRECTS: u32 = 3;
 const AGAIN_MS: u64 = 1_500;
 /// Time for which a lonely node does not send a machine away again.
 const SENT_AWAY_MS: u64 = 20_000;
@@ -810,6 +810,7 @@
             followed: self.seq,
             echo_ms: self.clock_ms,
             up_ms: now.0,
+            served_ms: 0,
             machines: machines.map(|(id, m)| view(id, m, now)).collect(),
             answered: answered.map(|(id, at)| (id.clone(), now.since(*at))).collect(),
             strays: self
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -108,6 +108,8 @@
     pub echo_ms: u64,
     /// Milliseconds since its process started.
     pub up_ms: u64,
+    /// Milliseconds since the store last served it.
+    pub served_ms: u64,
     /// The machines of its part that changed since the base.
     pub machines: Vec<MachineView>,
     /// For every machine it answered since the base: milliseconds since the last answer.
--- a/src/place.rs
+++ b/src/place.rs
@@ -172,7 +172,7 @@
 
 /// Part of a task's run time that is worth waiting for a spot machine instead of an ordinary
 /// one, so that the dearer ones run empty first.
-const ORDINARY_PART: f64 = 0.25;
+const ORDINARY_PART: f64 = 0.08;
 
 /// Seconds of waiting that are worth leaving a machine to the images of other jobs that it
 /// has, per GB of them. Jobs gather on machines that have their image, and fetches of large
--- a/src/service.rs
+++ b/src/service.rs
@@ -406,7 +406,7 @@
                 let mut core = self.core.borrow_mut();
                 core.part.news = false;
                 let now = self.now();
-                self.meter.time(Work::Summary, || core.part.summary(now))
+                self.meter.time(Work::Summary, || core.summary(now))
             };
             let now = self.now();
             let told = if leader == self.me {
--- a/src/term.rs
+++ b/src/term.rs
@@ -15,6 +15,9 @@
 /// Time to live of a controller's lease in the state service. Leadership ends with it.
 pub const LEASE_MS: u64 = 3_000;
 
+/// A time without the store's service after which it counts as having begun anew.
+const BREAK_MS: u64 = 3_000;
+
 /// What this node may do, as its own clock says.
 #[derive(Clone, Debug, Default)]
 pub struct Rights {
@@ -23,6 +26,8 @@
     pub lease: Option<StoreLease>,
     renewed: Option<Steady>,
     synced: Option<Steady>,
+    /// Since when the store has served this node without a longer break.
+    served_since: Steady,
 }
 
 impl Rights {
@@ -33,11 +38,13 @@
 
     /// A renewal of the lease that holds this node's key was confirmed; it was sent then.
     pub fn confirm_renewal(&mut self, sent: Steady) {
+        self.note_served(sent);
         self.renewed = self.renewed.max(Some(sent));
     }
 
     /// The replica was confirmed to be current; the request was sent then.
     pub fn confirm_sync(&mut self, sent: Steady) {
+        self.note_served(sent);
         self.synced = self.synced.max(Some(sent));
     }
 
@@ -67,6 +74,22 @@
         self.synced.map(|s| now.since(s))
     }
 
+    fn note_served(&mut self, sent: Steady) {
+        if self.served_age(sent) > BREAK_MS {
+            self.served_since = sent;
+        }
+    }
+
+    /// Milliseconds for which the store has served this node without a longer break.
+    pub fn served_for(&self, now: Steady) -> u64 {
+        now.since(self.served_since)
+    }
+
+    /// Milliseconds since the store last served this node, in any way.
+    pub fn served_age(&self, now: Steady) -> u64 {
+        now.since(self.synced.max(self.renewed).unwrap_or_default())
+    }
+
     /// When the replica was last known to be current.
     pub fn synced_at(&self) -> Option<Steady> {
         self.synced
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -654,7 +654,7 @@
         let Some(leader) = node.core.leader().map(|l| usize::from(l.0)) else {
             return;
         };
-        let summary = node.core.part.summary(steady);
+        let summary = node.core.summary(steady);
         if leader == n {
             let (tell, _) = node.core.take_summary(steady, summary);
             node.core.take_answer(tell);
