Connections by kind; load kept for the next leader; machines on record that are gone

Connections of users and silent ones are counted apart from workers'. The leader writes what brief work would use every 8 s for its successor.

--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use serde::{Deserialize, Serialize};
+
 use crate::model::{Cores, MachineId, Steady};
 use crate::place::{Flavors, Need, allowed};
 use crate::wire::{JobSpec, Urgency};
@@ -55,16 +57,26 @@
 #[derive(Clone, Debug, Default)]
 pub struct Market {
     refused: HashMap<Offer, Steady>,
+    /// What the load was.
+    pub load: Load,
+    at: Steady,
+    spare_since: Option<Steady>,
+}
+
+/// What brief work would use; kept in the store for the next leader.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Load {
     /// Cores that urgent brief work would use if all of it began on arrival.
     urgent: Average,
     /// The same of all brief work.
     brief: Average,
-    at: Steady,
-    spare_since: Option<Steady>,
+    /// The highest of urgent brief work, fading fast and slowly.
+    peak: f64,
+    slow_peak: f64,
 }
 
 /// Mean and spread of an amount over time, old values fading.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 struct Average {
     weight: f64,
     sum: f64,
@@ -88,6 +100,9 @@
     }
 }
 
+/// Times in which a remembered peak halves: spot machines are cheap enough to be kept longer.
+const PEAK_HALVES_S: f64 = 100.0;
+const SLOW_PEAK_HALVES_S: f64 = 250.0;
 /// Times over which amounts fade, of urgent brief work and of all.
 const URGENT_OVER_S: f64 = 120.0;
 const MEAN_OVER_S: f64 = 60.0;
@@ -110,10 +125,11 @@
 /// Work that runs shorter than this part of a boot time is brief: by the time a machine
 /// rented for it is up, it has found room or missed its time.
 const BRIEF: f64 = 0.8;
-/// How many deviations above the mean of urgent brief work are kept ready on spot machines
-/// and on any, and how much of the mean of all brief work.
-const READY_SPOT: f64 = 2.0;
-const READY_ANY: f64 = 0.7;
+/// What is kept ready of urgent brief work on any machines: its mean and so many deviations,
+/// at least this part of its peak (of which all is kept on spot machines), and how much of
+/// the mean of all brief work.
+const READY_DEVIATIONS: f64 = 0.7;
+const READY_ANY: f64 = 0.5;
 const READY_MEAN: f64 = 1.1;
 
 /// The decision.
@@ -139,8 +155,12 @@
     pub fn note(&mut self, now: Steady, brief: Cores, urgent: Cores) {
         let dt = (now.since(self.at) as f64 / 1000.0).min(5.0);
         self.at = now;
-        self.urgent.note(urgent.amount(), (-dt / URGENT_OVER_S).exp());
-        self.brief.note(brief.amount(), (-dt / MEAN_OVER_S).exp());
+        let load = &mut self.load;
+        load.urgent.note(urgent.amount(), (-dt / URGENT_OVER_S).exp());
+        load.brief.note(brief.amount(), (-dt / MEAN_OVER_S).exp());
+        let fade = |old: f64, halves: f64| (old * 0.5f64.powf(dt / halves)).max(urgent.amount());
+        load.peak = fade(load.peak, PEAK_HALVES_S);
+        load.slow_peak = fade(load.slow_peak, SLOW_PEAK_HALVES_S);
     }
 
     /// Notes whether ordinary machines could be done without.
@@ -150,9 +170,11 @@
 
     /// Cores to keep for brief work, on spot machines or on any.
     pub fn ready(&self, spot: bool) -> f64 {
-        let above = if spot { READY_SPOT } else { READY_ANY };
-        let urgent = self.urgent.mean() + above * self.urgent.deviation();
-        urgent.max(self.brief.mean() * READY_MEAN)
+        let load = &self.load;
+        let spread = load.urgent.mean() + READY_DEVIATIONS * load.urgent.deviation();
+        let any = spread.max(load.peak * READY_ANY);
+        let urgent = if spot { load.slow_peak.max(any) } else { any };
+        urgent.max(load.brief.mean() * READY_MEAN)
     }
 
     fn open(&self, offer: &Offer, now: Steady) -> bool {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -366,7 +366,8 @@
     /// Gives every machine without an owner one; `next` is the plan that will say so.
     pub fn assign(&mut self, ctx: &Context<'_>, next: PlanSeq) {
         let now = ctx.now;
-        let live = self.able(now);
+        let mut live = self.able(now);
+        live.retain(|id| self.nodes[id].served_ms < UNSERVED_MS * 2 / 5);
         let expected = ctx.ledger.members.len().min(ctx.nodes.len());
         if live.is_empty() || (live.len() < expected && now.since(self.began) < 1_000) {
             return;
@@ -391,6 +392,11 @@
             if m.gone.is_none() && !self.machines.contains_key(id) && !self.gone.contains(id) {
                 let offer = Offer { hull: m.hull.clone(), zone: m.zone.clone(), spot: m.spot };
                 self.note_machine(now, id, offer);
+                // It may be gone without the record saying so: then it is returned when its
+                // silence has lasted, and does not count as one that still boots.
+                if let Some(known) = self.machines.get_mut(id) {
+                    known.up = m.up;
+                }
             }
         }
         let open: Vec<MachineId> = self
@@ -595,7 +601,7 @@
                 }
                 None => {
                     let never = (startup * 4_000.0).max(90_000.0) as u64;
-                    if m.up || ctx.ledger.machine_known(id) && now.since(m.since) > never {
+                    if m.up {
                         calm && silent > lease
                     } else {
                         now.since(m.since) > never && silent > lease
--- a/src/http.rs
+++ b/src/http.rs
@@ -150,11 +150,28 @@
     Ok(fields)
 }
 
+/// Whom a connection belongs to, as its last request tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// No request has come yet.
+    Fresh,
+    /// Workers, and whoever checks health.
+    Worker,
+    /// Users.
+    User,
+}
+
 /// Bounds of a server.
 #[derive(Debug, Clone)]
 pub struct ServerLimits {
     /// Most connections at once.
     pub connections: usize,
+    /// Most of them that belong to users.
+    pub users: usize,
+    /// Most of them on which no request has come yet.
+    pub fresh: usize,
+    /// Tells whom a request's path belongs to.
+    pub kind: fn(&str) -> Kind,
     /// Largest body of a request.
     pub body: usize,
     /// How long a connection may stay open without a request.
@@ -171,6 +188,9 @@
     pub fn of(connections: usize) -> Self {
         ServerLimits {
             connections,
+            users: connections,
+            fresh: connections,
+            kind: |_| Kind::Worker,
             body: BODY_LIMIT,
             idle: Duration::from_secs(60),
             idle_crowded: Duration::from_secs(3),
@@ -179,14 +199,70 @@
     }
 }
 
-/// Serves connections until the process ends.
+/// Open connections by kind.
+#[derive(Debug, Default)]
+struct Open {
+    fresh: Cell<usize>,
+    workers: Cell<usize>,
+    users: Cell<usize>,
+}
+
+impl Open {
+    fn of(&self, kind: Kind) -> &Cell<usize> {
+        match kind {
+            Kind::Fresh => &self.fresh,
+            Kind::Worker => &self.workers,
+            Kind::User => &self.users,
+        }
+    }
+    fn all(&self) -> usize {
+        self.fresh.get() + self.workers.get() + self.users.get()
+    }
+}
+
+/// A connection as it is counted, for as long as it is open.
+struct Counted {
+    open: Rc<Open>,
+    kind: Kind,
+}
+
+impl Counted {
+    fn new(open: Rc<Open>) -> Self {
+        open.fresh.set(open.fresh.get() + 1);
+        Counted { open, kind: Kind::Fresh }
+    }
+    /// Counts it as another kind; false if there are too many of that kind.
+    fn turn(&mut self, kind: Kind, limits: &ServerLimits) -> bool {
+        if kind == self.kind {
+            return true;
+        }
+        if kind == Kind::User && self.open.users.get() >= limits.users {
+            return false;
+        }
+        let (from, to) = (self.open.of(self.kind), self.open.of(kind));
+        from.set(from.get() - 1);
+        to.set(to.get() + 1);
+        self.kind = kind;
+        true
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        let count = self.open.of(self.kind);
+        count.set(count.get().saturating_sub(1));
+    }
+}
+
+/// Serves connections until the process ends. Connections are counted by kind, so that a
+/// flood of users' connections, or of ones that say nothing, leaves room for workers.
 pub async fn serve<H, F>(listener: TcpListener, limits: ServerLimits, handler: H)
 where
     H: Fn(Request) -> F + 'static,
     F: Future<Output = Response> + 'static,
 {
     let handler = Rc::new(handler);
-    let open = Rc::new(Cell::new(0usize));
+    let open = Rc::new(Open::default());
     let limits = Rc::new(limits);
     let mut number = 0u64;
     loop {
@@ -195,16 +271,14 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
-        if open.get() >= limits.connections {
+        if open.all() >= limits.connections || open.fresh.get() >= limits.fresh {
             continue;
         }
         number += 1;
-        open.set(open.get() + 1);
-        let (handler, open, limits) = (handler.clone(), open.clone(), limits.clone());
+        let counted = Counted::new(open.clone());
+        let (handler, limits) = (handler.clone(), limits.clone());
         tokio::task::spawn_local(async move {
-            let crowded = || open.get() * 2 > limits.connections;
-            let _ = serve_connection(stream, &limits, number, crowded, &*handler).await;
-            open.set(open.get() - 1);
+            let _ = serve_connection(stream, &limits, number, counted, &*handler).await;
         });
     }
 }
@@ -213,7 +287,7 @@
     mut stream: TcpStream,
     limits: &ServerLimits,
     connection: u64,
-    crowded: impl Fn() -> bool,
+    mut counted: Counted,
     handler: &H,
 ) -> std::io::Result<()>
 where
@@ -227,7 +301,11 @@
     let mut buf: Vec<u8> = Vec::with_capacity(READ_ROOM);
     loop {
         if buf.is_empty() {
-            let idle = if crowded() { limits.idle_crowded } else { limits.idle };
+            let open = &counted.open;
+            let crowded = open.all() * 2 > limits.connections
+                || (counted.kind == Kind::User && open.users.get() * 2 > limits.users)
+                || counted.kind == Kind::Fresh;
+            let idle = if crowded { limits.idle_crowded } else { limits.idle };
             match timeout(idle, stream.read_buf(&mut buf)).await {
                 Ok(Ok(n)) if n > 0 => {}
                 _ => return Ok(()),
@@ -251,6 +329,10 @@
         if buf.capacity() > 16 * 1024 && buf.is_empty() {
             buf = Vec::with_capacity(READ_ROOM);
         }
+        if !counted.turn((limits.kind)(&head.path), limits) {
+            let refusal = Response { close: true, ..Response::later(1) };
+            return write_response(&mut stream, &refusal, true).await;
+        }
         let close = head.close;
         let response =
             handler(Request { method: head.method, path: head.path, body, connection }).await;
@@ -468,6 +550,61 @@
 mod tests {
     use super::*;
 
+    /// Opens connections to a server that takes six, three of users, two without a request, and
+    /// says what each is answered; `None` for a closed one.
+    async fn flood(paths: &[Option<&str>]) -> Vec<Option<u16>> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let kind = |path: &str| if path == "/user" { Kind::User } else { Kind::Worker };
+        let limits = ServerLimits { users: 3, fresh: 2, kind, ..ServerLimits::of(6) };
+        let server = tokio::task::spawn_local(serve(listener, limits, |_| async {
+            Response::new(200, vec![1])
+        }));
+        let mut kept = Vec::new();
+        let mut answers = Vec::new();
+        for path in paths {
+            let mut stream = TcpStream::connect(addr).await.unwrap();
+            let mut buf = Vec::with_capacity(READ_ROOM);
+            if let Some(path) = path {
+                let request = format!("GET {path} HTTP/1.1\r\n\r\n");
+                let sent = stream.write_all(request.as_bytes()).await;
+                let read = stream.read_buf(&mut buf).await;
+                let answer = (sent.is_ok() && read.is_ok_and(|n| n > 0))
+                    .then(|| parse_answer(&buf).ok().flatten().map(|a| a.0))
+                    .flatten();
+                answers.push(answer);
+            }
+            kept.push(stream);
+        }
+        server.abort();
+        answers
+    }
+
+    #[tokio::test]
+    async fn a_flood_of_one_kind_leaves_room_for_the_others() {
+        let (user, worker) = (Some("/user"), Some("/worker"));
+        let ok = Some(200);
+        type Case = (&'static str, Vec<Option<&'static str>>, Vec<Option<u16>>);
+        let cases: Vec<Case> = vec![
+            ("users", vec![user; 5], vec![ok, ok, ok, Some(503), Some(503)]),
+            (
+                "workers after users",
+                vec![user, user, user, user, worker, worker, worker],
+                vec![ok, ok, ok, Some(503), ok, ok, ok],
+            ),
+            ("silent ones", vec![None, None, worker], vec![None]),
+            (
+                "all in use",
+                [vec![worker; 6], vec![worker]].concat(),
+                [vec![ok; 6], vec![None]].concat(),
+            ),
+        ];
+        for (what, paths, want) in cases {
+            let got = tokio::task::LocalSet::new().run_until(flood(&paths)).await;
+            assert_eq!(got, want, "{what}");
+        }
+    }
+
     #[test]
     fn heads_are_taken_or_refused() {
         let long = format!("GET / HTTP/1.1\r\nA: {}", "x".repeat(HEAD_LIMIT));
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -57,6 +57,8 @@
 const MACHINE_KEYS: usize = 4;
 /// Least time between two writes of machines.
 const MACHINES_MS: u64 = 400;
+/// Time between two records of the load.
+const LOAD_MS: u64 = 8_000;
 /// Time between two decisions on what to rent and return.
 const CAPACITY_MS: u64 = 1_000;
 /// Longest time for which parts are not told how jobs stand.
@@ -155,6 +157,7 @@
     decision: capacity::Decision,
     decided: Option<Steady>,
     machines_written: Steady,
+    load_written: Steady,
 }
 
 impl Epoch {
@@ -200,7 +203,11 @@
             decision: capacity::Decision::default(),
             decided: None,
             machines_written: Steady(0),
+            load_written: ctx.now,
         };
+        if let Some((load, _)) = &ledger.load {
+            lead.market.load = load.clone();
+        }
         if let Some(old) = before {
             if old.term.0 + 1 == term.0 {
                 // Nobody led in between, so what this leader never granted is nowhere.
@@ -932,6 +939,14 @@
                 self.machines_written = ctx.now;
             }
         }
+        if ctx.now.since(self.load_written) >= LOAD_MS && apply.len() + 1 < ops {
+            self.load_written = ctx.now;
+            apply.push(Change::Set {
+                path: ledger::LOAD_KEY.into(),
+                value: wire::to_value(&self.market.load),
+                lease: None,
+            });
+        }
         if !apply.is_empty() {
             epoch.txn = Some(Txn { guards: ctx.ledger.lead_guard().into_iter().collect(), apply });
         }
@@ -1461,6 +1476,22 @@
         }
     }
 
+    #[test]
+    fn a_machine_on_record_that_never_reports_is_returned() {
+        // Seen on a bench day: the last leader returned machines and could not record it any
+        // more; the next one took them for booting, and counted on them for minutes.
+        let mut core = leader();
+        let alive = || vec![view("n-2", true, &[])];
+        let returned = |core: &mut Core, ms| {
+            core.rights.confirm_renewal(Steady(ms));
+            tell(core, ms, 1, alive());
+            core.with_lead(at(ms), |lead, ctx| lead.fleet.to_return(ctx)).unwrap()
+        };
+        assert!(returned(&mut core, 1_100).is_empty());
+        assert!(returned(&mut core, 9_000).is_empty(), "its lease may still run");
+        assert_eq!(returned(&mut core, 12_500), [MachineId::new("n-1")]);
+    }
+
     #[test]
     fn summaries_add_to_one_that_was_taken_or_are_asked_for_whole() {
         // What a missed summary told could be a task on a machine, or an answer to a worker.
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -3,7 +3,7 @@
 //! Keys: `j/<job>` the job as accepted (never changed), `d/<job>` its finished ranges and its
 //! end (cancelled or done), `lead` and `n/<node>` (on leases), `term`, `m/<group>` every
 //! machine that may be given tasks, `e/<n>` the task ranges that the last epochs granted,
-//! `flavors` the machine types,
+//! `flavors` the machine types, `load` what brief work would use,
 //! `x/<to>/<from>/<n>` messages between controllers that cannot reach each other.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -12,6 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::capacity::Load;
 use crate::model::{Incarnation, JobId, MachineId, NodeId, Ranges, Revision, TaskId, Term, Wall};
 use crate::place::Need;
 use crate::wire::{self, Changes, Guard, Item, JobSpec, JobStage, Value};
@@ -183,6 +184,8 @@
     pub withdrawn_forgotten: bool,
     /// Granted ranges by key number.
     pub epochs: BTreeMap<u32, (EpochRecord, Revision)>,
+    /// What the load was, as the last leader wrote it.
+    pub load: Option<(Load, Revision)>,
     /// Machine types, as the last leader that asked the cloud wrote them.
     pub flavors: Option<(wire::Flavors, Revision)>,
     /// Messages for this node, by sender and part.
@@ -224,6 +227,8 @@
 pub const LEAD_KEY: &str = "lead";
 /// The key of the machine types.
 pub const FLAVORS_KEY: &str = "flavors";
+/// The key of what the load was.
+pub const LOAD_KEY: &str = "load";
 /// The term's key.
 pub const TERM_KEY: &str = "term";
 
@@ -290,6 +295,12 @@
             }
             return;
         }
+        if key == LOAD_KEY {
+            if self.load.as_ref().is_none_or(|l| l.1 < stamp) {
+                self.load = wire::from_value(value).map(|l| (l, stamp));
+            }
+            return;
+        }
         let Some((kind, rest)) = key.split_once('/') else {
             return;
         };
--- a/src/service.rs
+++ b/src/service.rs
@@ -16,7 +16,7 @@
 use crate::cloud::{CloudClient, CloudError};
 use crate::config::Settings;
 use crate::core::{Core, Moment, accept_txn};
-use crate::http::{self, Client, Response, ServerLimits};
+use crate::http::{self, Client, Kind, Response, ServerLimits};
 use crate::lead::Lead;
 use crate::ledger::{self, Brought};
 use crate::meter::{Meter, Work};
@@ -63,6 +63,20 @@
     Failed,
 }
 
+/// Bounds of the public address: all workers of a fleet must fit in, whatever users do.
+fn public_limits(connections: usize) -> ServerLimits {
+    let kind = |path: &str| match path.starts_with("/api/") {
+        true => Kind::User,
+        false => Kind::Worker,
+    };
+    ServerLimits {
+        users: connections * 3 / 10,
+        fresh: (connections / 8).max(8),
+        kind,
+        ..ServerLimits::of(connections)
+    }
+}
+
 /// One controller.
 pub struct Service {
     /// Settings.
@@ -154,7 +168,7 @@
         let s = self.clone();
         spawn_local(http::serve(
             api,
-            ServerLimits::of(sockets.saturating_sub(80).max(32)),
+            public_limits(sockets.saturating_sub(80).max(32)),
             move |request| {
                 let s = s.clone();
                 async move { s.answer(request).await }
