Leases that ran out free tasks without a return; cut-off machines are waited for; slow machines are used last

Change: the run-out of a settled machine's lease frees its tasks at the leader and at its part; machines that are silent together are returned after 60 s only. Machines whose tasks take 1.8 times as long as others of their jobs come last.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -25,6 +25,11 @@
 /// Time within which a machine must lose its session twice to be taken for one that is not
 /// worth keeping.
 const LOSING_MS: u64 = 60_000;
+/// Part of the machines, and least number of them, that are cut off rather than dead when
+/// they are silent together; how long they are waited for then.
+const MANY_PART: usize = 6;
+const MANY_LEAST: usize = 8;
+const CUT_OFF_MS: u64 = 60_000;
 /// Removed machines of which parts are told, before they are told all owners anew.
 const GONE_TOLD: usize = 400;
 
@@ -117,6 +122,9 @@
     /// Machines that the cloud confirmed to be gone.
     pub gone: HashSet<MachineId>,
     heard: HashMap<MachineId, Steady>,
+    /// Machines whose lease has run out, and the session that ended with it: what their owner
+    /// still remembers of that session is over.
+    pub lapsed: BTreeMap<MachineId, Session>,
     absent: HashMap<NodeId, (u64, Steady)>,
     /// All machines that are held.
     pub machines: BTreeMap<MachineId, FleetMachine>,
@@ -133,6 +141,7 @@
             unsettled: BTreeSet::new(),
             gone: HashSet::new(),
             heard: HashMap::new(),
+            lapsed: BTreeMap::new(),
             absent: HashMap::new(),
             machines: BTreeMap::new(),
         };
@@ -249,7 +258,10 @@
     fn known(&self) -> impl Iterator<Item = (&Known, NodeId, &NodeState)> {
         self.nodes.iter().flat_map(move |(node, n)| {
             let told = n.machines.values();
-            told.filter(move |k| self.tells(*node, n, &k.view.id)).map(move |k| (k, *node, n))
+            let over =
+                |k: &&Known| self.lapsed.get(&k.view.id).is_some_and(|s| k.view.session <= *s);
+            told.filter(move |k| self.tells(*node, n, &k.view.id) && !over(k))
+                .map(move |k| (k, *node, n))
         })
     }
 
@@ -502,6 +514,7 @@
             self.unsettled.remove(id);
             self.machines.remove(id);
             self.heard.remove(id);
+            self.lapsed.remove(id);
         }
     }
 
@@ -528,9 +541,6 @@
     /// Declares machines empty whose lease has certainly run out: every controller says, as of
     /// a moment a whole lease after the last answer anyone gave, that it gave no later one.
     pub fn silent_verdicts(&mut self, ctx: &Context<'_>) {
-        if self.unsettled.is_empty() {
-            return;
-        }
         let lease = plus_drift(ctx.settings.worker_lease_ms()) + 500;
         let mut told_until = Steady(u64::MAX);
         let mut last_other = Steady(0);
@@ -552,15 +562,20 @@
                 },
             }
         }
-        let silent: Vec<MachineId> = self
-            .unsettled
-            .iter()
-            .filter(|id| {
-                let last = self.heard.get(*id).copied().unwrap_or(self.began).max(last_other);
-                last.plus(lease) < told_until
-            })
-            .cloned()
+        let over = |id: &MachineId| {
+            let last = self.heard.get(id).copied().unwrap_or(self.began).max(last_other);
+            last.plus(lease) < told_until
+        };
+        let lapsed: Vec<(MachineId, Session)> = self
+            .known()
+            .filter(|(k, _, _)| k.view.settled && over(&k.view.id))
+            .map(|(k, _, _)| (k.view.id.clone(), k.view.session))
             .collect();
+        let silent: Vec<MachineId> = self.unsettled.iter().filter(|id| over(id)).cloned().collect();
+        for (id, session) in lapsed {
+            tracing::warn!(machine = %id, "lease has run out at every controller");
+            self.lapsed.insert(id, session);
+        }
         for id in silent {
             tracing::warn!(machine = %id, "lease has run out at every controller");
             // Its session is over, so nothing of earlier terms runs there; should it come
@@ -583,10 +598,16 @@
         let quick = ((ctx.settings.params.workers.report_s * 4_000.0) as u64).clamp(5_000, lease);
         let well: Vec<NodeId> =
             self.nodes.keys().copied().filter(|node| self.hears_well(ctx, *node)).collect();
+        let silent_ms =
+            |id: &MachineId| now.since(self.heard.get(id).copied().unwrap_or(self.began));
+        // Many that fall silent at once are cut off: what they ran is proven over by their
+        // leases, and they will be wanted when they are back, with their images.
+        let up = self.machines.values().filter(|m| m.up).count();
+        let mute = self.machines.iter().filter(|(id, m)| m.up && silent_ms(id) > quick).count();
+        let cut_off = mute > (up / MANY_PART).max(MANY_LEAST);
         let over = |id: &MachineId, m: &FleetMachine| {
             let startup = ctx.flavors.get(&m.offer.hull).map_or(60.0, |f| f.startup_s);
-            let heard = self.heard.get(id).copied().unwrap_or(self.began);
-            let silent = now.since(heard);
+            let silent = silent_ms(id);
             if m.failed || (deaf && self.unsettled.contains(id)) {
                 return true;
             }
@@ -596,13 +617,17 @@
                         && k.view.tasks.is_empty()
                         && k.view.settled
                         && !self.unsettled.contains(id);
-                    let limit = if well.contains(node) { quick } else { lease };
+                    let limit = match (cut_off, well.contains(node)) {
+                        (true, _) => lease.max(CUT_OFF_MS),
+                        (false, true) => quick,
+                        (false, false) => lease,
+                    };
                     drained || (calm && (silent > limit || m.losing))
                 }
                 None => {
                     let never = (startup * 4_000.0).max(90_000.0) as u64;
                     if m.up {
-                        calm && silent > lease
+                        calm && silent > if cut_off { lease.max(CUT_OFF_MS) } else { lease }
                     } else {
                         now.since(m.since) > never && silent > lease
                     }
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -17,8 +17,8 @@
 use crate::fleet::{Fleet, OnMachines, Taken};
 use crate::ledger::{self, EpochRecord, Job, Ledger, MachineGroup, MachineRecord};
 use crate::model::{
-    Attempt, Cores, JobId, LEADERS_ATTEMPTS, MachineId, NodeId, PlanSeq, Ranges, Steady, TaskId,
-    Term, Wall,
+    Attempt, Cores, JobId, LEADERS_ATTEMPTS, MachineId, NodeId, PlanSeq, Ranges, Session, Steady,
+    TaskId, Term, Wall,
 };
 use crate::part::Finished;
 use crate::peer::{Grant, Plan, PlanBody, Standing, Summary, Tell, Waits};
@@ -57,6 +57,11 @@
 const MACHINE_KEYS: usize = 4;
 /// Least time between two writes of machines.
 const MACHINES_MS: u64 = 400;
+/// Tasks of a job that must have completed before others are compared with them.
+const COMPARED: u32 = 3;
+/// How much longer than others tasks take on a slow machine, and how many must have shown it.
+const SLOW_RATIO: f64 = 1.8;
+const SLOW_TASKS: u32 = 4;
 /// Time between two records of the load.
 const LOAD_MS: u64 = 8_000;
 /// Time between two decisions on what to rent and return.
@@ -151,7 +156,10 @@
     pub market: Market,
     waits: HashMap<JobId, Waits>,
     runs: HashMap<String, (f64, f64)>,
-    seen_running: FxHashMap<TaskId, Steady>,
+    seen_running: FxHashMap<TaskId, (Steady, MachineId)>,
+    /// Seconds that a job's tasks ran in all, and their number.
+    job_runs: FxHashMap<JobId, (f64, u32)>,
+    speeds: FxHashMap<MachineId, Speed>,
     /// When a job's tasks were last given machines.
     placed: FxHashMap<JobId, Steady>,
     decision: capacity::Decision,
@@ -199,6 +207,8 @@
             waits: HashMap::new(),
             runs: HashMap::new(),
             seen_running: FxHashMap::default(),
+            job_runs: FxHashMap::default(),
+            speeds: FxHashMap::default(),
             placed: FxHashMap::default(),
             decision: capacity::Decision::default(),
             decided: None,
@@ -222,6 +232,7 @@
             lead.rebalanced = old.rebalanced;
             lead.market = old.market;
             lead.runs = old.runs;
+            lead.speeds = old.speeds;
         }
         lead
     }
@@ -328,12 +339,13 @@
     /// The cloud confirmed that these machines and all on them are gone.
     pub fn machines_gone(&mut self, ids: &[MachineId]) {
         self.fleet.machines_gone(ids, PlanSeq(self.seq.0 + 1));
+        self.speeds.retain(|id, _| !ids.contains(id));
     }
 
     /// Learns how long tasks run compared with their owners' estimates.
     fn learn(&mut self, ctx: &Context<'_>, on: &OnMachines<'_>) {
         let now = ctx.now;
-        for (t, began) in &self.seen_running {
+        for (t, (began, machine)) in &self.seen_running {
             if on.get(t).is_some_and(|s| s.stage == PieceStage::Running) {
                 continue;
             }
@@ -344,6 +356,12 @@
                 continue;
             };
             let took = now.since(*began) as f64 / 1000.0;
+            let known = self.job_runs.entry(t.job).or_default();
+            if known.1 >= COMPARED {
+                let speed = self.speeds.entry(machine.clone()).or_default();
+                speed.note(took / (known.0 / f64::from(known.1)).max(0.1));
+            }
+            *known = (known.0 + took, known.1 + 1);
             if !self.runs.contains_key(&job.spec.lane) {
                 self.runs.insert(job.spec.lane.clone(), (0.0, 0.0));
             }
@@ -353,8 +371,9 @@
             }
         }
         let mut running = FxHashMap::default();
-        for (t, _) in on.iter().filter(|(_, s)| s.stage == PieceStage::Running) {
-            running.insert(*t, self.seen_running.get(t).copied().unwrap_or(now));
+        for (t, s) in on.iter().filter(|(_, s)| s.stage == PieceStage::Running) {
+            let seen = self.seen_running.get(t).filter(|(_, m)| *m == s.machine.id).cloned();
+            running.insert(*t, seen.unwrap_or_else(|| (now, s.machine.id.clone())));
         }
         self.seen_running = running;
     }
@@ -379,6 +398,7 @@
         self.revoked.retain(|t, _| ledger.may_run(*t));
         self.recorded.retain(|job, _| ledger.jobs.contains_key(job));
         self.placed.retain(|job, _| ledger.jobs.contains_key(job));
+        self.job_runs.retain(|job, _| ledger.jobs.contains_key(job));
         self.ahead.retain(|t| ledger.may_run(*t));
         let next = PlanSeq(self.seq.0 + 1);
         let mut unused: Vec<TaskId> = Vec::new();
@@ -401,6 +421,9 @@
     /// would place them.
     fn rooms(&self, ctx: &Context<'_>, fleet: &Fleet, on: &OnMachines<'_>) -> Vec<Room> {
         let mut rooms = fleet.rooms(ctx);
+        for room in &mut rooms {
+            room.slow = self.speeds.get(&room.id).is_some_and(Speed::is_slow);
+        }
         let owner = |r: &Room| fleet.owners.get(&r.id).map(|o| o.0);
         let mut under_way: BTreeMap<(NodeId, JobId, Option<&str>), usize> = BTreeMap::new();
         for (t, g) in self.granted.iter().filter(|(t, _)| !on.contains_key(t)) {
@@ -1091,6 +1114,11 @@
             .filter(|(_, m)| m.draining.is_some())
             .map(|(id, _)| id.clone())
             .collect();
+        let lapsed: Vec<(MachineId, Session)> =
+            self.fleet.lapsed.iter().map(|(id, s)| (id.clone(), *s)).collect();
+        let mut slow: Vec<MachineId> =
+            self.speeds.iter().filter(|(_, s)| s.is_slow()).map(|(id, _)| id.clone()).collect();
+        slow.sort();
         type Alike<'a> = (JobId, Option<&'a str>, Option<Attempt>);
         let mut grants: BTreeMap<NodeId, BTreeMap<Alike<'_>, Ranges>> = BTreeMap::new();
         for (t, g) in &self.granted {
@@ -1106,12 +1134,22 @@
                 zone: zone.map(str::to_string),
                 attempt,
             });
-            let body =
-                PlanBody { grants: grants.collect(), drain: drain.clone(), standings: vec![] };
+            let body = PlanBody {
+                grants: grants.collect(),
+                drain: drain.clone(),
+                slow: slow.clone(),
+                lapsed: lapsed.clone(),
+                standings: vec![],
+            };
             bodies.insert(*id, body);
         }
         let same = |id: &NodeId, b: &PlanBody| {
-            self.bodies.get(id).is_some_and(|o| o.grants == b.grants && o.drain == b.drain)
+            self.bodies.get(id).is_some_and(|o| {
+                o.grants == b.grants
+                    && o.drain == b.drain
+                    && o.slow == b.slow
+                    && o.lapsed == b.lapsed
+            })
         };
         // A plan that tells nothing new would only be sent around.
         let due = ctx.now.since(self.told_standings) >= STANDINGS_MS;
@@ -1198,6 +1236,30 @@
     }
 }
 
+/// How long tasks take on a machine, compared with others of their jobs.
+#[derive(Clone, Copy, Debug)]
+struct Speed {
+    ratio: f64,
+    tasks: u32,
+}
+
+impl Default for Speed {
+    fn default() -> Self {
+        Speed { ratio: 1.0, tasks: 0 }
+    }
+}
+
+impl Speed {
+    fn note(&mut self, ratio: f64) {
+        // One odd task says little.
+        self.ratio = self.ratio * 0.75 + ratio.min(5.0) * 0.25;
+        self.tasks += 1;
+    }
+    fn is_slow(&self) -> bool {
+        self.tasks >= SLOW_TASKS && self.ratio > SLOW_RATIO
+    }
+}
+
 /// Where a job's tasks may be in relation to each other.
 struct ZoneRule {
     one: bool,
@@ -1476,6 +1538,64 @@
         }
     }
 
+    #[test]
+    fn machines_that_run_slow_are_told_from_odd_tasks() {
+        let cases: [(&[f64], bool); 5] = [
+            (&[1.0; 9], false),
+            (&[5.0, 1.0, 1.0, 1.0], false),
+            (&[3.0, 3.0, 3.0], false),
+            (&[3.0, 3.0, 3.0, 3.0], true),
+            (&[3.0, 3.0, 3.0, 3.0, 1.0, 1.0, 1.0, 1.0], false),
+        ];
+        for (ratios, want) in cases {
+            let mut speed = Speed::default();
+            ratios.iter().for_each(|r| speed.note(*r));
+            assert_eq!(speed.is_slow(), want, "{ratios:?}");
+        }
+    }
+
+    #[test]
+    fn a_silent_machines_tasks_are_over_with_its_lease_and_not_before() {
+        // Whole zones were returned a moment before their cut ended, though the run-out of
+        // their leases had proven all that was needed.
+        let mut core = leader();
+        let tells = |core: &mut Core, ms: u64, alive: bool, session: u64| {
+            core.rights.confirm_renewal(Steady(ms));
+            core.rights.confirm_sync(Steady(ms));
+            let mut n1 = view("n-1", true, if session == 1 { &[0] } else { &[] });
+            n1.session = Session(session);
+            let mut s = Summary {
+                node: NodeId(0),
+                number: ms,
+                followed: PlanSeq(1),
+                echo_ms: ms,
+                up_ms: ms,
+                machines: vec![n1, view("n-2", true, &[])],
+                ..summary(ms, 0, LIFE)
+            };
+            s.answered = vec![(MachineId::new("n-2"), 0)];
+            if alive {
+                s.answered.push((MachineId::new("n-1"), 0));
+            }
+            core.take_summary(Steady(ms), s);
+            let (epoch, term) = core.epoch(at(ms)).unwrap();
+            core.publish(at(ms), epoch, term);
+            let lead = core.lead.as_ref().unwrap();
+            let task = TaskId { job: JobId(1), index: 0 };
+            (lead.fleet.on_machines().contains_key(&task), lead.fleet.lapsed.len())
+        };
+        tells(&mut core, 1_100, true, 1);
+        assert_eq!(tells(&mut core, 30_000, true, 1), (true, 0));
+        assert_eq!(tells(&mut core, 38_000, false, 1), (true, 0), "its lease may still run");
+        assert_eq!(tells(&mut core, 42_000, false, 1), (false, 1));
+        let plan = core.plan_for(NodeId(0), Steady(42_000)).unwrap().0;
+        let told = plan.body.map(|b| b.lapsed);
+        assert_eq!(told, Some(vec![(MachineId::new("n-1"), Session(1))]), "its part is told");
+        assert_eq!(tells(&mut core, 43_000, false, 1), (false, 1), "remembered from before");
+        tells(&mut core, 44_000, true, 2);
+        assert!(core.lead.as_ref().unwrap().fleet.views().any(|m| &*m.id.0 == "n-1"), "back");
+    }
+
     #[test]
     fn a_machine_on_record_that_never_reports_is_returned() {
         // Seen on a bench day: the last leader returned machines and could not record it any
--- a/src/part.rs
+++ b/src/part.rs
@@ -393,6 +393,11 @@
         // or is gone with the machine.
         self.machines.retain(|id, _| owners.get(id) == Some(&me));
         self.strays.retain(|id, _| owners.get(id) != Some(&me));
+        for (id, session) in &body.lapsed {
+            if let Some(m) = self.machines.get_mut(id).filter(|m| m.session <= *session) {
+                m.tasks.clear();
+            }
+        }
         self.drained = body.drain.iter().cloned().collect();
         self.gangs = body.grants.iter().filter_map(|g| g.attempt).collect();
         self.body = body;
@@ -761,6 +766,7 @@
             .filter_map(|(id, m)| {
                 let mut room = m.room(id, env, !self.drained.contains(id))?;
                 let since = env.now.since(m.heard) as f64 / 1000.0;
+                room.slow = self.body.slow.contains(id);
                 room.delay_s = (env.report_s - since).max(0.0);
                 Some(room).filter(|r| r.open)
             })
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -207,6 +207,10 @@
     pub grants: Vec<Grant>,
     /// Machines that are to take nothing new.
     pub drain: Vec<MachineId>,
+    /// Machines that are used last, as they run slow.
+    pub slow: Vec<MachineId>,
+    /// Machines whose lease has run out, and the session that ended with it.
+    pub lapsed: Vec<(MachineId, Session)>,
     /// How jobs stand.
     pub standings: Vec<Standing>,
 }
--- a/src/place.rs
+++ b/src/place.rs
@@ -84,6 +84,8 @@
     pub fetch_rate: f64,
     /// Whether it takes new tasks.
     pub open: bool,
+    /// Whether tasks take much longer here than elsewhere.
+    pub slow: bool,
 }
 
 impl Room {
@@ -162,6 +164,7 @@
             delay_s: 0.0,
             fetch_rate: flavor.fetch_gb_per_s,
             open: open && known && ledger.machine_known(id),
+            slow: false,
         })
     }
 }
@@ -174,6 +177,9 @@
 /// one, so that the dearer ones run empty first.
 const ORDINARY_PART: f64 = 0.08;
 
+/// The same to keep away from a machine that runs slow.
+const SLOW_PART: f64 = 1.5;
+
 /// Seconds of waiting that are worth leaving a machine to the images of other jobs that it
 /// has, per GB of them. Jobs gather on machines that have their image, and fetches of large
 /// images become rare.
@@ -189,6 +195,7 @@
         + r.free.cores.less(need.cores).amount() * SPARE_CORE_S
         + if r.spot { 0.0 } else { spec.guess_s * ORDINARY_PART }
         + r.others_gb(spec) * OTHER_IMAGES_S_PER_GB
+        + if r.slow { spec.guess_s * SLOW_PART } else { 0.0 }
 }
 
 /// The best machine for a task: shortest wait for the image, then the tightest fit.
@@ -281,6 +288,7 @@
             delay_s: 0.0,
             fetch_rate: 0.5,
             open: true,
+            slow: false,
         }
     }
 
@@ -322,10 +330,50 @@
                 None,
                 None,
             ),
+            (
+                "slow machines are used last",
+                vec![edit(room("n-1", 4, 64), |r| r.slow = true), room("n-2", 16, 64)],
+                None,
+                Some(1),
+            ),
             ("wrong zone", vec![room("n-1", 8, 64)], Some("b"), None),
         ];
         for (what, rooms, zone, want) in cases {
             assert_eq!(choose(&job, &need, &rooms, zone), want, "{what}");
+            let first = spread(&job, &need, &mut rooms.clone(), zone, 1, false);
+            assert_eq!(first.first().copied(), want, "{what}, in one pass");
+        }
+    }
+
+    #[test]
+    fn a_jobs_tasks_are_placed_as_one_after_the_other() {
+        // (cores of each machine, tasks, machines chosen in order); a task takes 4.
+        type Case = (&'static [u64], usize, &'static [usize]);
+        let cases: [Case; 4] = [
+            (&[8, 8], 0, &[]),
+            (&[8, 8], 3, &[0, 0, 1]),
+            (&[4, 16], 3, &[0, 1, 1]),
+            (&[3, 7], 9, &[1]),
+        ];
+        let job = spec(1, 9);
+        let need = Need::of(&job);
+        for (cores, count, want) in cases {
+            let names = ["n-1", "n-2"];
+            let mut rooms: Vec<Room> =
+                cores.iter().zip(names).map(|(c, id)| room(id, *c, 64)).collect();
+            let mut one_by_one = rooms.clone();
+            let chosen = spread(&job, &need, &mut rooms, None, count, false);
+            assert_eq!(chosen, want, "{cores:?} {count}");
+            let mut singly = Vec::new();
+            while singly.len() < count
+                && let Some(i) = choose(&job, &need, &one_by_one, None)
+            {
+                one_by_one[i].add(&job, &need);
+                singly.push(i);
+            }
+            assert_eq!(chosen, singly);
+            let warm = spread(&job, &need, &mut rooms, None, count, true);
+            assert!(warm.iter().all(|i| want.contains(i)), "only machines that have the image");
         }
     }
 
