--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -119,16 +119,18 @@
 /// in use stays free beyond what is kept ready, and which part of the machines goes at a time.
 const SPARE_MS: u64 = 12_000;
 const SPARE_PART: f64 = 0.12;
-const SHED_PART: usize = 30;
+const SHED_PART: usize = 40;
 /// A machine that is deleted costs at least that long.
 const LEAST_PAID_S: f64 = 60.0;
 /// Work that runs shorter than this part of a boot time is brief: by the time a machine
 /// rented for it is up, it has found room or missed its time.
 const BRIEF: f64 = 0.8;
-/// What is kept ready of urgent brief work on any machines: its mean and so many deviations,
-/// at least this part of its peak (of which all is kept on spot machines), and how much of
-/// the mean of all brief work.
-const READY_DEVIATIONS: f64 = 0.7;
+/// What is kept ready of urgent brief work on spot machines, which cost little, and on any: its
+/// mean and so many deviations, at least this part of its peak, and how much of the mean of
+/// all brief work.
+const SPOT_DEVIATIONS: f64 = 1.5;
+const READY_SPOT: f64 = 1.0;
+const ANY_DEVIATIONS: f64 = 0.7;
 const READY_ANY: f64 = 0.5;
 const READY_MEAN: f64 = 1.1;
 
@@ -171,10 +173,12 @@
     /// Cores to keep for brief work, on spot machines or on any.
     pub fn ready(&self, spot: bool) -> f64 {
         let load = &self.load;
-        let spread = load.urgent.mean() + READY_DEVIATIONS * load.urgent.deviation();
-        let any = spread.max(load.peak * READY_ANY);
-        let urgent = if spot { load.slow_peak.max(any) } else { any };
-        urgent.max(load.brief.mean() * READY_MEAN)
+        let (part, peak, deviations) = match spot {
+            true => (READY_SPOT, load.slow_peak, SPOT_DEVIATIONS),
+            false => (READY_ANY, load.peak, ANY_DEVIATIONS),
+        };
+        let spread = load.urgent.mean() + deviations * load.urgent.deviation();
+        spread.max(peak * part).max(load.brief.mean() * READY_MEAN)
     }
 
     fn open(&self, offer: &Offer, now: Steady) -> bool {
@@ -359,7 +363,8 @@
     let up = || held.iter().filter(|h| !h.leaving && !h.booting);
     let cores = |h: &Held| flavors.get(&h.offer.hull).map_or(0.0, |f| f.vcpus);
     let used = |h: &Held| cores(h) - h.free.cores.amount();
-    let most = (up().count() / SHED_PART).max(1);
+    // In a small fleet one job is much of the load, and what is spare now is wanted again soon.
+    let most = up().count() / SHED_PART;
     let mut out = Vec::new();
     for hull in flavors.keys() {
         let of_type = || up().filter(|h| h.offer.hull == *hull);
@@ -466,17 +471,19 @@
             h.free.cores = h.free.cores.less(Cores(used * 1000));
             h
         };
-        // Two ordinary machines half used, three spot machines free, idle for a short time.
+        // Two ordinary machines half used, spot machines free, idle for a short time.
         let mut all = vec![busy(held("n-1", false, 0.0), 4), busy(held("n-2", false, 0.0), 2)];
-        all.extend(["n-3", "n-4", "n-5"].map(|id| held(id, true, 5.0)));
+        all.extend((3..41).map(|n| held(&format!("n-{n}"), true, 5.0)));
         let at = |s: u64| Steady(s * 1_000);
         let d = decide(at(1), &f, &all, &[], &market);
         assert!(d.spare && d.retire.is_empty(), "not yet");
         market.note_spare(at(1), d.spare);
         let d = decide(at(14), &f, &all, &[], &market);
         assert_eq!(d.retire, [MachineId::new("n-2")], "the least used goes first");
-        let d = decide(at(14), &f, &all, &[want(&job, 1, false)], &market);
-        assert!(d.retire.is_empty(), "something waits");
+        let d = decide(at(14), &f, &all, &[want(&job, 20, false)], &market);
+        assert!(d.retire.is_empty(), "much waits");
+        let few = decide(at(14), &f, &all[..20], &[], &market);
+        assert!(few.retire.is_empty(), "a small fleet keeps them");
         market.note_spare(at(20), false);
         assert!(decide(at(24), &f, &all, &[], &market).retire.is_empty(), "it did not last");
     }
@@ -488,7 +495,7 @@
         let mut market = Market::default();
         market.note(Steady(100), Cores(16_000), Cores(16_000));
         let d = decide(Steady(1_000), &f, &[], &[want(&job, 1, true)], &market);
-        assert_eq!(rented(&d), 2);
+        assert_eq!(rented(&d), 2, "its peak of 16 cores");
         assert!(d.rent.iter().all(|(o, _)| o.spot));
         for s in 1..900 {
             market.note(Steady(s * 1_000), Cores(0), Cores(0));
@@ -501,7 +508,7 @@
     fn idle_machines_go_unless_brief_work_may_need_them() {
         let f = flavors();
         let mut market = Market::default();
-        let all = [held("n-1", true, 70.0), held("n-2", false, 70.0), held("n-3", true, 10.0)];
+        let all = [held("n-1", true, 170.0), held("n-2", false, 70.0), held("n-3", true, 10.0)];
         let d = decide(Steady(1_000), &f, &all, &[], &market);
         assert_eq!(d.retire, [MachineId::new("n-2"), MachineId::new("n-1")]);
         market.note(Steady(1_000), Cores(14_000), Cores(16_000));
