Spot machines that others could do without go too; spare is followed through returns

Change: machines of a type that could be done without for 25 s go, least used first, a fortieth at a time, beyond what long work used within a minute and what is kept ready.

--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -70,6 +70,9 @@
     urgent: Average,
     /// The same of all brief work.
     brief: Average,
+    /// Cores that long work used.
+    #[serde(default)]
+    long: Average,
     /// The highest of urgent brief work, fading fast and slowly.
     peak: f64,
     slow_peak: f64,
@@ -103,7 +106,7 @@
 /// Times in which a remembered peak halves: spot machines are cheap enough to be kept longer.
 const PEAK_HALVES_S: f64 = 100.0;
 const SLOW_PEAK_HALVES_S: f64 = 250.0;
-/// Times over which amounts fade, of urgent brief work and of all.
+/// Times over which amounts fade, of urgent brief work and of the rest.
 const URGENT_OVER_S: f64 = 120.0;
 const MEAN_OVER_S: f64 = 60.0;
 /// How long an offer that was refused is not asked for again.
@@ -115,9 +118,10 @@
 const IDLE_ORDINARY_S: f64 = 20.0;
 /// Seconds that work without urgency waits in the queue before ordinary machines are rented.
 const PATIENT_S: f64 = 12.0;
-/// How long ordinary machines must have been to spare before some go, what part of the cores
+/// How long machines must have been to spare before some go, ordinary and spot, what part of the cores
 /// in use stays free beyond what is kept ready, and which part of the machines goes at a time.
 const SPARE_MS: u64 = 12_000;
+const SPARE_SPOT_MS: u64 = 25_000;
 const SPARE_PART: f64 = 0.12;
 const SHED_PART: usize = 40;
 /// A machine that is deleted costs at least that long.
@@ -141,7 +145,7 @@
     pub rent: Vec<(Offer, u32)>,
     /// Machines to drain and return.
     pub retire: Vec<MachineId>,
-    /// Whether ordinary machines could be done without, if that lasts.
+    /// Whether machines could be done without, if that lasts.
     pub spare: bool,
 }
 
@@ -154,18 +158,19 @@
     /// Notes the cores that brief work would use now if all of it began on arrival, and how
     /// many of them are urgent. What queues does not count: a queue from before the first
     /// machines were up says nothing about what comes.
-    pub fn note(&mut self, now: Steady, brief: Cores, urgent: Cores) {
+    pub fn note(&mut self, now: Steady, brief: Cores, urgent: Cores, long: Cores) {
         let dt = (now.since(self.at) as f64 / 1000.0).min(5.0);
         self.at = now;
         let load = &mut self.load;
         load.urgent.note(urgent.amount(), (-dt / URGENT_OVER_S).exp());
         load.brief.note(brief.amount(), (-dt / MEAN_OVER_S).exp());
+        load.long.note(long.amount(), (-dt / MEAN_OVER_S).exp());
         let fade = |old: f64, halves: f64| (old * 0.5f64.powf(dt / halves)).max(urgent.amount());
         load.peak = fade(load.peak, PEAK_HALVES_S);
         load.slow_peak = fade(load.slow_peak, SLOW_PEAK_HALVES_S);
     }
 
-    /// Notes whether ordinary machines could be done without.
+    /// Notes whether machines could be done without.
     pub fn note_spare(&mut self, now: Steady, spare: bool) {
         self.spare_since = self.spare_since.filter(|_| spare).or(spare.then_some(now));
     }
@@ -251,12 +256,24 @@
     let long = wants.iter().zip(&queues).filter(|(w, _)| !w.brief && w.tasks > 0);
     let waiting = long.map(|(_, q)| *q).fold(0.0, f64::max) > PATIENT_S / 3.0;
     let mut spare = false;
-    if rent.is_empty() && retire.is_empty() && !waiting {
-        let lacking = (market.ready(false) - in_use).max(0.0);
-        let shed = shed(flavors, held, lacking);
-        spare = !shed.is_empty();
-        let long = market.spare_since.is_some_and(|at| now.since(at) >= SPARE_MS);
-        retire.extend(shed.into_iter().filter(|_| long));
+    if rent.is_empty() && !waiting {
+        let lacking = |spot| (market.ready(spot) - in_use).max(0.0);
+        let long = |hull: &str| {
+            let fits = |w: &&Want<'_>| {
+                let offered = flavors.get(hull).map(Need::offered);
+                !w.brief && offered.is_some_and(|o| Need::of(w.spec).fits(&o))
+            };
+            if wants.iter().any(|w| fits(&w)) { market.load.long.mean() } else { 0.0 }
+        };
+        let since = market.spare_since.map_or(0, |at| now.since(at));
+        let ordinary = shed(flavors, held, false, lacking(false), &long);
+        let cheap = shed(flavors, held, true, lacking(true), &long);
+        spare = !ordinary.is_empty() || !cheap.is_empty();
+        if retire.is_empty() && since >= SPARE_MS && !ordinary.is_empty() {
+            retire = ordinary;
+        } else if retire.is_empty() && since >= SPARE_SPOT_MS {
+            retire = cheap;
+        }
     }
     Decision { retire, spare, rent: rent.into_iter().collect() }
 }
@@ -357,9 +374,16 @@
     best.map(|(_, _, offer, offered)| (offer, offered))
 }
 
-/// Ordinary machines whose work others would hold as well, least used first and a few at a
-/// time: they take nothing new, and go when they are empty.
-fn shed(flavors: &Flavors, held: &[Held], lacking: f64) -> Vec<MachineId> {
+/// Machines, spot or ordinary, whose work others of their type would hold as well, least used
+/// first and a few at a time: they take nothing new, and go when they are empty. What long work
+/// used lately is counted as if it still did.
+fn shed(
+    flavors: &Flavors,
+    held: &[Held],
+    spot: bool,
+    lacking: f64,
+    long: &dyn Fn(&str) -> f64,
+) -> Vec<MachineId> {
     let up = || held.iter().filter(|h| !h.leaving && !h.booting);
     let cores = |h: &Held| flavors.get(&h.offer.hull).map_or(0.0, |f| f.vcpus);
     let used = |h: &Held| cores(h) - h.free.cores.amount();
@@ -368,12 +392,12 @@
     let mut out = Vec::new();
     for hull in flavors.keys() {
         let of_type = || up().filter(|h| h.offer.hull == *hull);
-        let mut spare: f64 =
-            of_type().map(|h| h.free.cores.amount() - used(h) * SPARE_PART).sum::<f64>() - lacking;
-        let mut dear: Vec<&Held> =
-            of_type().filter(|h| !h.offer.spot && h.age_s >= LEAST_PAID_S).collect();
-        dear.sort_by(|a, b| used(a).total_cmp(&used(b)).then_with(|| a.id.cmp(&b.id)));
-        for h in dear.into_iter().take(most) {
+        let in_use = of_type().map(used).sum::<f64>().max(long(hull)) * (1.0 + SPARE_PART);
+        let mut spare = of_type().map(cores).sum::<f64>() - in_use - lacking;
+        let mut some: Vec<&Held> =
+            of_type().filter(|h| h.offer.spot == spot && h.age_s >= LEAST_PAID_S).collect();
+        some.sort_by(|a, b| used(a).total_cmp(&used(b)).then_with(|| a.id.cmp(&b.id)));
+        for h in some.into_iter().take(most) {
             spare -= cores(h);
             if spare < 0.0 {
                 break;
@@ -482,6 +506,12 @@
         assert_eq!(d.retire, [MachineId::new("n-2")], "the least used goes first");
         let d = decide(at(14), &f, &all, &[want(&job, 20, false)], &market);
         assert!(d.retire.is_empty(), "much waits");
+        let cheap: Vec<Held> = all[2..].to_vec();
+        assert!(decide(at(14), &f, &cheap, &[], &market).retire.is_empty(), "spot stays longer");
+        let d = decide(at(27), &f, &cheap, &[], &market);
+        assert_eq!(d.retire.len(), 0, "38 machines are a small fleet");
+        let many: Vec<Held> = (3..84).map(|n| held(&format!("n-{n}"), true, 5.0)).collect();
+        assert_eq!(decide(at(27), &f, &many, &[], &market).retire.len(), 2);
         let few = decide(at(14), &f, &all[..20], &[], &market);
         assert!(few.retire.is_empty(), "a small fleet keeps them");
         market.note_spare(at(20), false);
@@ -493,12 +523,12 @@
         let f = flavors();
         let job = spec(1, 4);
         let mut market = Market::default();
-        market.note(Steady(100), Cores(16_000), Cores(16_000));
+        market.note(Steady(100), Cores(16_000), Cores(16_000), Cores(0));
         let d = decide(Steady(1_000), &f, &[], &[want(&job, 1, true)], &market);
         assert_eq!(rented(&d), 2, "its peak of 16 cores");
         assert!(d.rent.iter().all(|(o, _)| o.spot));
         for s in 1..900 {
-            market.note(Steady(s * 1_000), Cores(0), Cores(0));
+            market.note(Steady(s * 1_000), Cores(0), Cores(0), Cores(0));
         }
         let d = decide(Steady(900_000), &f, &[held("n-1", true, 0.0)], &[], &market);
         assert_eq!(d, Decision::default(), "nothing is wanted any more");
@@ -511,7 +541,7 @@
         let all = [held("n-1", true, 170.0), held("n-2", false, 70.0), held("n-3", true, 10.0)];
         let d = decide(Steady(1_000), &f, &all, &[], &market);
         assert_eq!(d.retire, [MachineId::new("n-2"), MachineId::new("n-1")]);
-        market.note(Steady(1_000), Cores(14_000), Cores(16_000));
+        market.note(Steady(1_000), Cores(14_000), Cores(16_000), Cores(0));
         let d = decide(Steady(1_000), &f, &all, &[], &market);
         assert_eq!(d.retire, [MachineId::new("n-2")], "the dearest goes first");
     }
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -864,7 +864,7 @@
         let now = ctx.now;
         let granting: FxHashSet<TaskId> = epoch.grants.iter().map(|g| g.0).collect();
         let mut wants: Vec<Want<'_>> = Vec::new();
-        let (mut brief_cores, mut urgent) = (Cores(0), Cores(0));
+        let (mut brief_cores, mut urgent, mut long) = (Cores(0), Cores(0), Cores(0));
         let mut team_room: HashMap<&str, u64> = HashMap::new();
         for t in &ctx.settings.params.teams {
             let limit = t.core_limit().map_or(u64::MAX, |c| c.0);
@@ -893,6 +893,9 @@
                 urgent.0 += if job.spec.urgency <= Urgency::High { cores } else { 0 };
             }
             let running = held.get(&job.spec.r#ref).copied().unwrap_or(0);
+            if !brief {
+                long.0 += need.cores.0 * u64::from(running);
+            }
             wants.push(Want {
                 spec: &job.spec,
                 tasks: wanted.saturating_sub(running),
@@ -901,7 +904,7 @@
                 brief,
             });
         }
-        self.market.note(now, brief_cores, urgent);
+        self.market.note(now, brief_cores, urgent, long);
         let free: HashMap<&MachineId, &Room> = rooms.iter().map(|r| (&r.id, r)).collect();
         let machines: Vec<Held> = fleet
             .machines
