--- a/src/place.rs
+++ b/src/place.rs
@@ -184,6 +184,8 @@
 /// has, per GB of them. Jobs gather on machines that have their image, and fetches of large
 /// images become rare.
 const OTHER_IMAGES_S_PER_GB: f64 = 0.5;
+/// The same where the job's own image is, too: a warm machine is mostly worth it.
+const WARM_S_PER_GB: f64 = 0.1;
 
 /// A machine that has not reported for that long takes nothing new.
 pub const SILENT_MS: u64 = 4_000;
@@ -194,7 +196,8 @@
         + r.delay_s
         + r.free.cores.less(need.cores).amount() * SPARE_CORE_S
         + if r.spot { 0.0 } else { spec.guess_s * ORDINARY_PART }
-        + r.others_gb(spec) * OTHER_IMAGES_S_PER_GB
+        + r.others_gb(spec)
+            * if r.has(&spec.bundle) { WARM_S_PER_GB } else { OTHER_IMAGES_S_PER_GB }
         + if r.slow { spec.guess_s * SLOW_PART } else { 0.0 }
 }
 
