--- a/src/core.rs
+++ b/src/core.rs
@@ -1,7 +1,6 @@
 //! What a controller knows and decides, without any connection: the service's loops bring
 //! answers in and carry transactions and messages out. Tests drive the same code.
 
-use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use tracing::info;
@@ -10,7 +9,7 @@
 use crate::lead::{Context, Epoch, Lead};
 use crate::ledger::{self, Brought, LeadRecord, Ledger, MemberRecord, TermRecord};
 use crate::model::{Incarnation, JobId, NodeId, Revision, Steady, StoreLease, Term, Wall};
-use crate::part::{Finished, Part, ReportAnswer, Surroundings};
+use crate::part::{Part, ReportAnswer, Surroundings};
 use crate::peer::{Plan, Summary, Tell};
 use crate::place::Flavors;
 use crate::term::Rights;
@@ -66,28 +65,6 @@
     heard_lead: Option<LeadRecord>,
 }
 
-fn context<'a>(
-    settings: &'a Settings,
-    nodes: &'a [NodeInfo],
-    ledger: &'a Ledger,
-    rights: &Rights,
-    flavors: &'a Flavors,
-    finished: &'a BTreeMap<JobId, Finished>,
-    now: Moment,
-) -> Context<'a> {
-    Context {
-        now: now.steady,
-        wall: now.wall,
-        ledger,
-        synced: rights.synced_at().unwrap_or_default(),
-        served_for: rights.served_for(now.steady),
-        flavors,
-        finished,
-        settings,
-        nodes,
-    }
-}
-
 impl Core {
     /// A controller that knows nothing yet.
     pub fn new(settings: Rc<Settings>, life: Incarnation) -> Self {
@@ -109,22 +86,33 @@
         }
     }
 
+    /// Does something with the leadership and what it needs to see.
+    fn with_ctx<T>(
+        &mut self,
+        now: Moment,
+        act: impl FnOnce(&mut Option<Lead>, &Context<'_>) -> T,
+    ) -> T {
+        let ctx = Context {
+            now: now.steady,
+            wall: now.wall,
+            ledger: &self.ledger,
+            synced: self.rights.synced_at().unwrap_or_default(),
+            served_for: self.rights.served_for(now.steady),
+            flavors: &self.flavors,
+            finished: &self.part.finished,
+            settings: &self.settings,
+            nodes: &self.nodes,
+        };
+        act(&mut self.lead, &ctx)
+    }
+
     /// Does something with the leadership, if there is one, and what it needs to see.
     pub fn with_lead<T>(
         &mut self,
         now: Moment,
         act: impl FnOnce(&mut Lead, &Context<'_>) -> T,
     ) -> Option<T> {
-        let ctx = context(
-            &self.settings,
-            &self.nodes,
-            &self.ledger,
-            &self.rights,
-            &self.flavors,
-            &self.part.finished,
-            now,
-        );
-        self.lead.as_mut().map(|lead| act(lead, &ctx))
+        self.with_ctx(now, |lead, ctx| lead.as_mut().map(|lead| act(lead, ctx)))
     }
 
     /// Takes the whole store as it was read, `revision` being that of the first page: pages
@@ -203,17 +191,10 @@
             (Some(r), _) => {
                 let term = r.term;
                 info!(%term, "leading");
-                let before = self.lead.take();
-                let ctx = context(
-                    &self.settings,
-                    &self.nodes,
-                    &self.ledger,
-                    &self.rights,
-                    &self.flavors,
-                    &self.part.finished,
-                    now,
-                );
-                self.lead = Some(Lead::begin(&ctx, term, before));
+                self.with_ctx(now, |lead, ctx| {
+                    let before = lead.take();
+                    *lead = Some(Lead::begin(ctx, term, before));
+                });
             }
             (None, Some(lead)) => {
                 info!(term = %lead.term, "no longer leading");
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -1409,6 +1409,7 @@
     use super::*;
     use crate::config::tests::EXAMPLE;
     use crate::core::{Core, Moment};
+    use crate::ledger::tests::group;
     use crate::ledger::{Accepted, Brought, LeadRecord, TermRecord};
     use crate::model::{Incarnation, Revision, Session, StoreLease};
     use crate::peer::{MachineView, TaskView};
@@ -1431,17 +1432,7 @@
         let job = JobId(1);
         let record = EpochRecord { term: Term(2), granted: vec![(job, Ranges::span(0, 1))] };
         let lead = LeadRecord { node: NodeId(0), life: LIFE, term: Term(3) };
-        let machine = |id: &str| {
-            let record = MachineRecord {
-                hull: "small".into(),
-                zone: "a".into(),
-                spot: false,
-                up: true,
-                gone: None,
-            };
-            (MachineId::new(id), record)
-        };
-        let group = MachineGroup { machines: vec![machine("n-1"), machine("n-2")] };
+        let group = group(&["n-1", "n-2"]);
         let item = |path: &str, v| Item { path: path.into(), v, stamp: Revision(9) };
         let accepted = Accepted { spec: spec(1, 1), at: Wall(1) };
         core.load(
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -524,11 +524,24 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub(crate) mod tests {
     use super::*;
     use crate::wire::News;
     use crate::wire::tests::spec;
 
+    /// Machines of type `small` in zone `a` that are up.
+    pub(crate) fn group(ids: &[&str]) -> MachineGroup {
+        let record = MachineRecord {
+            hull: "small".into(),
+            zone: "a".into(),
+            spot: false,
+            up: true,
+            gone: None,
+        };
+        let machines = ids.iter().map(|id| (MachineId::new(id), record.clone()));
+        MachineGroup { machines: machines.collect() }
+    }
+
     fn set<T: Serialize>(key: String, value: &T, stamp: u64) -> News {
         News { set: Some(key), drop: None, v: Some(wire::to_value(value)), stamp: Revision(stamp) }
     }
--- a/src/part.rs
+++ b/src/part.rs
@@ -888,7 +888,8 @@
     use crate::config::Settings;
     use crate::config::tests::EXAMPLE;
     use crate::core::{Core, Moment};
-    use crate::ledger::{self, Accepted, Brought, LeadRecord, MachineGroup, MachineRecord};
+    use crate::ledger::tests::group;
+    use crate::ledger::{self, Accepted, Brought, LeadRecord};
     use crate::model::{Revision, StoreLease, Wall};
     use crate::peer::OwnerNews;
     use crate::place::tests::flavor;
@@ -904,14 +905,7 @@
         let mut core = Core::new(Rc::new(Settings::parse(EXAMPLE).unwrap()), LIFE);
         core.set_flavors(&wire::Flavors { hulls: vec![flavor("small", 8.0, 64.0)] });
         let lead = LeadRecord { node: NodeId(1), life: Incarnation(9), term: TERM };
-        let record = MachineRecord {
-            hull: "small".into(),
-            zone: "a".into(),
-            spot: false,
-            up: true,
-            gone: None,
-        };
-        let group = MachineGroup { machines: vec![(MachineId::new("n-1"), record)] };
+        let group = group(&["n-1"]);
         let item = |path: &str, v| Item { path: path.into(), v, stamp: Revision(9) };
         let accepted = Accepted { spec: spec(1, 2), at: Wall(1) };
         core.load(
