--- a/src/part.rs
+++ b/src/part.rs
@@ -1029,6 +1029,8 @@
         assert_eq!(hear(&mut core, 5_000, &report(1, 4, 3, None)), (true, 1), "tried again");
         let shown = report(1, 5, 3, Some(PieceStage::Ended));
         assert_eq!(hear(&mut core, 6_000, &shown), (true, 0), "it is done, though not on record");
+        let again = report(1, 6, 3, Some(PieceStage::Ended));
+        assert_eq!(hear(&mut core, 30_000, &again), (true, 0), "and stays so");
     }
 
     #[test]
