--- a/src/lead.rs
+++ b/src/lead.rs
@@ -7,7 +7,6 @@
 //! losing a controller or moving a machine takes a new term of the same leader.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
-use std::rc::Rc;
 
 use rustc_hash::{FxHashMap, FxHashSet};
 
@@ -36,10 +35,6 @@
 const REBALANCE_MS: u64 = 30_000;
 /// Keys over which granted ranges are spread by job, so that an epoch rewrites few of them.
 const GRANT_KEYS: u32 = 16;
-/// Part of all cores below which free ones count as none to spare.
-const FULL_BELOW: f64 = 0.15;
-/// How many times the fetch of its image a task waits for a machine that has it.
-const PATIENCE: f64 = 1.0;
 /// How long a job waits at most before its first tasks go before others.
 const STARVED_MS: u64 = 100_000;
 /// The rank that it has until it has begun.
@@ -113,10 +108,6 @@
     grants: Vec<(TaskId, Granted)>,
     /// How many tasks of each job are held, and how many may be running somewhere.
     counts: FxHashMap<JobId, (u32, u32)>,
-    /// Whether little room is left.
-    full: bool,
-    /// Cores of machines that have an image.
-    warm: FxHashMap<Rc<str>, Cores>,
 }
 
 /// One epoch's outcome, to be written before it is published.
@@ -160,8 +151,6 @@
     /// Seconds that a job's tasks ran in all, and their number.
     job_runs: FxHashMap<JobId, (f64, u32)>,
     speeds: FxHashMap<MachineId, Speed>,
-    /// When a job's tasks were last given machines.
-    placed: FxHashMap<JobId, Steady>,
     decision: capacity::Decision,
     decided: Option<Steady>,
     machines_written: Steady,
@@ -209,7 +198,6 @@
             seen_running: FxHashMap::default(),
             job_runs: FxHashMap::default(),
             speeds: FxHashMap::default(),
-            placed: FxHashMap::default(),
             decision: capacity::Decision::default(),
             decided: None,
             machines_written: Steady(0),
@@ -286,15 +274,11 @@
         let on = fleet.on_machines();
         self.learn(ctx, &on);
         self.settle(ctx, &on, fleet.unsettled.is_empty());
-        let rooms = self.rooms(ctx, &fleet, &on);
-        let (full, warm) = warmth(ctx, &rooms);
         let filling = Filling {
             used: self.team_use(ctx, &fleet, &on),
-            rooms,
+            rooms: self.rooms(ctx, &fleet, &on),
             grants: Vec::new(),
             counts: self.counts(&on),
-            full,
-            warm,
         };
         let filling = self.grant(ctx, &fleet, &on, filling);
         let mut epoch = Epoch { grants: filling.grants, ..Epoch::default() };
@@ -397,7 +381,6 @@
         self.granted.retain(|t, _| ledger.may_run(*t));
         self.revoked.retain(|t, _| ledger.may_run(*t));
         self.recorded.retain(|job, _| ledger.jobs.contains_key(job));
-        self.placed.retain(|job, _| ledger.jobs.contains_key(job));
         self.job_runs.retain(|job, _| ledger.jobs.contains_key(job));
         self.ahead.retain(|t| ledger.may_run(*t));
         let next = PlanSeq(self.seq.0 + 1);
@@ -435,7 +418,7 @@
             let first = rooms.iter().position(|r| owner(r) == Some(node)).unwrap_or(rooms.len());
             let len = rooms[first..].iter().take_while(|r| owner(r) == Some(node)).count();
             let part = &mut rooms[first..first + len];
-            place::spread(&job.spec, &Need::of(&job.spec), part, zone, count, false);
+            place::spread(&job.spec, &Need::of(&job.spec), part, zone, count);
         }
         rooms
     }
@@ -717,7 +700,6 @@
             .filter(|t| self.is_free(ctx, on, *t))
             .take(more.min(fits))
             .collect();
-        let warm_only = self.waits_for_image(ctx, job, free.len(), filling);
         let mut zones = ZoneRule::of(&job.spec);
         let mut chosen: Vec<usize> = Vec::new();
         if zones.binds() {
@@ -737,11 +719,7 @@
                 chosen.push(i);
             }
         } else {
-            let rooms = &mut filling.rooms;
-            chosen = place::spread(&job.spec, &need, rooms, None, free.len(), warm_only);
-        }
-        if !chosen.is_empty() {
-            self.placed.insert(id, ctx.now);
+            chosen = place::spread(&job.spec, &need, &mut filling.rooms, None, free.len());
         }
         for (task, i) in free.into_iter().zip(chosen) {
             let room = &filling.rooms[i];
@@ -755,23 +733,6 @@
         }
     }
 
-    /// Whether a job's tasks had better wait for machines that have their image: the machines
-    /// are full, so a fetch takes cores from work that could run; others will soon leave
-    /// room on enough machines that have it; and it has not waited longer than a fetch takes.
-    fn waits_for_image(&self, ctx: &Context<'_>, job: &Job, tasks: usize, f: &Filling) -> bool {
-        if job.spec.urgency < Urgency::Normal || !f.full {
-            return false;
-        }
-        let rates = ctx.flavors.values().map(|f| f.fetch_gb_per_s);
-        let fetch_s = job.spec.size_gb / rates.fold(0.01, f64::max);
-        let since = self.placed.get(&job.spec.r#ref).map_or(0.0, |at| ctx.now.since(*at) as f64);
-        let age = ctx.wall.0.saturating_sub(job.at.0) as f64;
-        let waited = if since > 0.0 { since.min(age) } else { age };
-        let warm = f.warm.get(&job.spec.bundle).copied().unwrap_or(Cores(0));
-        let need = Need::of(&job.spec).cores.0 * tasks as u64;
-        waited < fetch_s * PATIENCE * 1000.0 && warm.0 >= need
-    }
-
     /// How many more such tasks a team's limit allows.
     fn within_limit(&self, ctx: &Context<'_>, team: usize, need: &Need, f: &Filling) -> usize {
         let Some(limits) = ctx.settings.params.teams.get(team) else { return usize::MAX };
@@ -1384,21 +1345,6 @@
     inside
 }
 
-/// Whether machines are nearly full, and how many cores the machines have that hold an image.
-fn warmth(ctx: &Context<'_>, rooms: &[Room]) -> (bool, FxHashMap<Rc<str>, Cores>) {
-    let (mut free, mut all) = (Cores(0), Cores(0));
-    let mut warm: FxHashMap<Rc<str>, Cores> = FxHashMap::default();
-    for r in rooms.iter().filter(|r| r.open) {
-        let total = ctx.flavors.get(&*r.hull).map_or(Cores(0), |f| Cores::offer(f.vcpus));
-        free.0 += r.free.cores.0;
-        all.0 += total.0;
-        for (image, _) in &r.images {
-            warm.entry(image.clone()).or_default().0 += total.0;
-        }
-    }
-    (free.amount() < all.amount() * FULL_BELOW, warm)
-}
-
 /// The key that holds a job's granted ranges.
 fn grant_key(job: JobId) -> u32 {
     (job.0 % u64::from(GRANT_KEYS)) as u32
@@ -1416,6 +1362,7 @@
     use crate::place::tests::flavor;
     use crate::wire::Item;
     use crate::wire::tests::spec;
+    use std::rc::Rc;
 
     const LIFE: Incarnation = Incarnation(5);
 
--- a/src/part.rs
+++ b/src/part.rs
@@ -776,7 +776,7 @@
             let Some(job) = env.ledger.jobs.get(&grant.job()) else { continue };
             let need = Need::of(&job.spec);
             let zone = grant.zone.as_deref();
-            let chosen = place::spread(&job.spec, &need, &mut rooms, zone, tasks.len(), false);
+            let chosen = place::spread(&job.spec, &need, &mut rooms, zone, tasks.len());
             self.unplaced |= chosen.len() < tasks.len();
             let queued = tasks.into_iter().zip(chosen);
             queues.extend(
--- a/src/place.rs
+++ b/src/place.rs
@@ -214,21 +214,20 @@
 
 /// Places up to `count` tasks of a job, each on the machine that is best when its turn comes,
 /// and counts them in there. A job's tasks are alike, so every machine is weighed once, and
-/// again only when it got a task. With `warm_only`, only machines count that have the image.
+/// again only when it got a task.
 pub fn spread(
     spec: &JobSpec,
     need: &Need,
     rooms: &mut [Room],
     zone: Option<&str>,
     count: usize,
-    warm_only: bool,
 ) -> Vec<usize> {
     // Costs are not negative, so their bits sort as they do.
     let bits = |r: &Room| cost(spec, need, r).max(0.0).to_bits();
     let mut open: BinaryHeap<Reverse<(u64, usize)>> = rooms
         .iter()
         .enumerate()
-        .filter(|(_, r)| r.takes(spec, need, zone) && (!warm_only || r.has(&spec.bundle)))
+        .filter(|(_, r)| r.takes(spec, need, zone))
         .map(|(i, r)| Reverse((bits(r), i)))
         .collect();
     let mut chosen = Vec::new();
@@ -343,7 +342,7 @@
         ];
         for (what, rooms, zone, want) in cases {
             assert_eq!(choose(&job, &need, &rooms, zone), want, "{what}");
-            let first = spread(&job, &need, &mut rooms.clone(), zone, 1, false);
+            let first = spread(&job, &need, &mut rooms.clone(), zone, 1);
             assert_eq!(first.first().copied(), want, "{what}, in one pass");
         }
     }
@@ -365,7 +364,7 @@
             let mut rooms: Vec<Room> =
                 cores.iter().zip(names).map(|(c, id)| room(id, *c, 64)).collect();
             let mut one_by_one = rooms.clone();
-            let chosen = spread(&job, &need, &mut rooms, None, count, false);
+            let chosen = spread(&job, &need, &mut rooms, None, count);
             assert_eq!(chosen, want, "{cores:?} {count}");
             let mut singly = Vec::new();
             while singly.len() < count
@@ -375,8 +374,6 @@
                 singly.push(i);
             }
             assert_eq!(chosen, singly);
-            let warm = spread(&job, &need, &mut rooms, None, count, true);
-            assert!(warm.iter().all(|i| want.contains(i)), "only machines that have the image");
         }
     }
 
