--- a/src/service.rs
+++ b/src/service.rs
@@ -32,6 +32,8 @@
 const EPOCH: Duration = Duration::from_millis(1_000);
 /// Shortest time between two epochs.
 const EPOCH_LEAST: Duration = Duration::from_millis(60);
+/// Longest rest after an epoch that cost much.
+const EPOCH_REST: Duration = Duration::from_millis(250);
 /// Longest wait between two summaries of a part; news bring them sooner.
 const SUMMARY: Duration = Duration::from_millis(200);
 /// Shortest time between two summaries.
@@ -623,7 +625,8 @@
             }
             // The leader always has time for its workers and users: an epoch that costs much
             // makes the next one wait.
-            sleep(EPOCH_LEAST.max(Duration::from_micros(self.epoch_us.get() * 80))).await;
+            let pause = Duration::from_micros(self.epoch_us.get() * 80);
+            sleep(pause.clamp(EPOCH_LEAST, EPOCH_REST)).await;
         }
     }
 
