Times that follow how often workers report come from the settings

A machine counted as silent, and took nothing new, after 4 s without a report, and a grant was taken back after 4.5 s: most machines were closed most of the time, and grants expired before the report in which they could have become a start. The same constants were right for reports every 1 to 1.5 s. Ruled out: processor time (0.06 of 0.27 cores on average), the store's budget (no refusal), connections. Change: config::Pace derives from report_s and lease_s when a machine is silent, a grant unused, a stray there and a machine quickly taken for stopped; a machine that is overdue costs placement more the longer it is. A stray's owner is looked up instead of searched for. A table test over the deployments' values and odd ones; it fails with fixed times.

--- a/src/config.rs
+++ b/src/config.rs
@@ -311,12 +311,82 @@
     pub fn worker_lease_ms(&self) -> u64 {
         (self.params.workers.lease_s * 1000.0) as u64
     }
+
+    /// What follows from how often workers report.
+    pub fn pace(&self) -> Pace {
+        Pace::of(&self.params.workers)
+    }
+}
+
+/// Times that follow from how often workers report, in milliseconds. The least values are those
+/// that a loaded controller and the way of a message need, however often workers report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pace {
+    /// Usual time between two reports.
+    pub report_ms: u64,
+    /// Longest time between two reports of a worker that is answered: a quarter more.
+    pub gap_ms: u64,
+    /// A machine that has not reported for that long takes nothing new. A longer time gives tasks
+    /// to machines that are dead, a shorter one closes machines that are well.
+    pub silent_ms: u64,
+    /// A grant that was not used for that long is taken back: it waits for a report of
+    /// the machine that it was meant for, and that machine may have been full.
+    pub unused_ms: u64,
+    /// A machine that reports to a controller other than its owner counts as being there for that
+    /// long after a report.
+    pub stray_ms: u64,
+    /// A machine that was well and has not reported for that long has stopped, if its owner
+    /// hears others.
+    pub quick_ms: u64,
+}
+
+impl Pace {
+    /// The times for workers that report like that.
+    pub fn of(w: &Workers) -> Self {
+        let report_ms = (w.report_s * 1000.0) as u64;
+        let lease_ms = (w.lease_s * 1000.0) as u64;
+        let gap_ms = report_ms + report_ms / 4;
+        Pace {
+            report_ms,
+            gap_ms,
+            silent_ms: (gap_ms + 2_000).max(4_000),
+            unused_ms: (gap_ms + 2_500).max(4_500),
+            stray_ms: (gap_ms + 1_000).max(3_000),
+            quick_ms: (report_ms * 4).clamp(5_000, lease_ms.max(5_000)),
+        }
+    }
+
+    /// Seconds until a machine that reported so many milliseconds ago does so again. The longer one
+    /// is overdue, the likelier it has stopped.
+    pub fn delay_s(&self, since_ms: u64) -> f64 {
+        self.report_ms.abs_diff(since_ms) as f64 / 1000.0
+    }
 }
 
 #[cfg(test)]
 pub(crate) mod tests {
     use super::*;
 
+    #[test]
+    fn times_follow_how_often_workers_report() {
+        // Reports of the deployments, then odd ones: (report, lease, silent, unused, stray, quick).
+        // With fixed times of 4 s, machines that report every 5 s were closed for most of the time.
+        let cases = [
+            (1.0, 11.0, 4_000, 4_500, 3_000, 5_000),
+            (1.5, 10.0, 4_000, 4_500, 3_000, 6_000),
+            (2.5, 15.25, 5_125, 5_625, 4_125, 10_000),
+            (5.0, 26.5, 8_250, 8_750, 7_250, 20_000),
+            (0.5, 3.0, 4_000, 4_500, 3_000, 5_000),
+            (10.0, 30.0, 14_500, 15_000, 13_500, 30_000),
+        ];
+        for (report_s, lease_s, silent, unused, stray, quick) in cases {
+            let p = Pace::of(&Workers { report_s, lease_s, cancel_s: 99.0 });
+            let got = (p.silent_ms, p.unused_ms, p.stray_ms, p.quick_ms);
+            assert_eq!(got, (silent, unused, stray, quick), "{report_s} {lease_s}");
+            assert!(p.gap_ms + 1_000 <= p.stray_ms && p.gap_ms < p.silent_ms);
+        }
+    }
+
     /// A settings file like those that the platform hands over.
     pub(crate) const EXAMPLE: &str = include_str!("../tests/settings.toml");
 
--- a/src/core.rs
+++ b/src/core.rs
@@ -206,8 +206,8 @@
 
     /// What this node tells the leader.
     pub fn summary(&mut self, now: Steady) -> Summary {
-        let served_ms = self.rights.served_age(now);
-        Summary { served_ms, ..self.part.summary(now) }
+        let (served_ms, pace) = (self.rights.served_age(now), self.settings.pace());
+        Summary { served_ms, ..self.part.summary(now, &pace) }
     }
 
     /// Who leads, as the store told just now; what peers are told that it does not serve.
@@ -298,7 +298,7 @@
             nodes: &self.nodes,
             alone: self.alone(now),
             lease_ms: self.settings.worker_lease_ms(),
-            report_s: self.settings.params.workers.report_s,
+            pace: self.settings.pace(),
         };
         self.part.on_report(&env, report)
     }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -6,10 +6,11 @@
 use rustc_hash::FxHashMap;
 
 use crate::capacity::Offer;
+use crate::config::Pace;
 use crate::lead::Context;
 use crate::model::{Incarnation, MachineId, NodeId, PlanSeq, Session, Steady, TaskId};
 use crate::peer::{MachineView, OwnerNews, Summary};
-use crate::place::{Room, SILENT_MS};
+use crate::place::Room;
 use crate::term::{last_right, plus_drift};
 use crate::wire::{self, PieceStage};
 
@@ -284,13 +285,14 @@
 
     /// Machines as placement sees them.
     pub fn rooms(&self, ctx: &Context<'_>) -> Vec<Room> {
+        let pace = ctx.settings.pace();
         self.known()
             .filter_map(|(k, _, n)| {
                 let m = self.machines.get(&k.view.id)?;
                 let v = &k.view;
                 let open = ctx.now.since(n.at) < NODE_LOST_MS
                     && n.served_ms < UNSERVED_MS / 2
-                    && ctx.now.since(k.heard) < SILENT_MS
+                    && ctx.now.since(k.heard) < pace.silent_ms
                     && m.draining.is_none()
                     && v.settled
                     && !v.leaving
@@ -320,7 +322,12 @@
     }
 
     /// Why a new term is needed, if one is: an owner is lost, or machines cannot reach theirs.
-    pub fn wants_new_term(&self, now: Steady, served_for: u64) -> Option<&'static str> {
+    pub fn wants_new_term(
+        &self,
+        now: Steady,
+        served_for: u64,
+        pace: &Pace,
+    ) -> Option<&'static str> {
         if now.since(self.began) < NODE_LOST_MS {
             return None;
         }
@@ -342,9 +349,9 @@
         let (mut some, mut long) = (0, false);
         for (node, s) in all_strays {
             if s.since_ms > STRAY_MS
-                && s.silent_ms < 3_000
+                && s.silent_ms < pace.stray_ms
                 && self.owners.get(&s.id).is_some_and(|(o, _)| o != node)
-                && !self.owner_hears(now, &s.id)
+                && !self.owner_hears(now, &s.id, s.silent_ms)
             {
                 some += 1;
                 long |= s.since_ms > FEW_STRAYS_MS;
@@ -353,8 +360,12 @@
         (some > self.owners.len() / 20 || long).then_some("machines cannot reach their owner")
     }
 
-    fn owner_hears(&self, now: Steady, id: &MachineId) -> bool {
-        self.known().any(|(k, _, _)| k.view.id == *id && now.since(k.heard) < STRAY_MS)
+    /// Whether a machine's owner has heard it lately, or later than the controller that heard it
+    /// that many milliseconds ago.
+    fn owner_hears(&self, now: Steady, id: &MachineId, silent_ms: u64) -> bool {
+        let owner = self.owners.get(id).and_then(|(owner, _)| self.nodes.get(owner));
+        let known = owner.and_then(|n| n.machines.get(id));
+        known.is_some_and(|k| now.since(k.heard) < silent_ms.max(STRAY_MS))
     }
 
     fn zone_of<'a>(&'a self, ctx: &'a Context<'_>, id: &MachineId) -> Option<&'a str> {
@@ -384,10 +395,11 @@
         if live.is_empty() || (live.len() < expected && now.since(self.began) < 1_000) {
             return;
         }
+        let heard_ms = ctx.settings.pace().stray_ms + 2_000;
         let mut strays: HashMap<MachineId, NodeId> = HashMap::new();
         let mut found: Vec<(MachineId, Offer)> = Vec::new();
         for (node, n) in self.nodes.iter().filter(|(id, _)| live.contains(id)) {
-            for s in n.strays.iter().filter(|s| s.silent_ms < 5_000) {
+            for s in n.strays.iter().filter(|s| s.silent_ms < heard_ms) {
                 let offer = Offer { hull: s.hull.clone(), zone: s.zone.clone(), spot: s.spot };
                 found.push((s.id.clone(), offer));
                 if s.since_ms > STRAY_MS {
@@ -595,7 +607,7 @@
         let calm = now.since(self.began) > lease;
         // Whatever an older controller kept alive has had time to come over.
         let deaf = now.since(self.began) > lease + plus_drift(ctx.settings.keep_alive_ms());
-        let quick = ((ctx.settings.params.workers.report_s * 4_000.0) as u64).clamp(5_000, lease);
+        let quick = ctx.settings.pace().quick_ms;
         let well: Vec<NodeId> =
             self.nodes.keys().copied().filter(|node| self.hears_well(ctx, *node)).collect();
         let silent_ms =
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -25,8 +25,6 @@
 use crate::term::Attempts;
 use crate::wire::{self, Change, PieceStage, Shape, Txn, Urgency};
 
-/// A grant that was not used for that long is taken back.
-const GRANT_UNUSED_MS: u64 = 4_500;
 /// How much less each further task of a job is worth than the one before.
 const FADE: f64 = 0.995;
 /// How long a machine that is gone stays known, against late reports.
@@ -303,7 +301,7 @@
         if self.renew_term.is_some() {
             return;
         }
-        self.renew_term = self.fleet.wants_new_term(now, ctx.served_for);
+        self.renew_term = self.fleet.wants_new_term(now, ctx.served_for, &ctx.settings.pace());
         let calm = now.since(self.rebalanced.max(self.began)) > REBALANCE_MS;
         if self.renew_term.is_none() && calm && self.fleet.unsettled.is_empty() {
             let live = self.fleet.able(now);
@@ -384,11 +382,12 @@
         self.job_runs.retain(|job, _| ledger.jobs.contains_key(job));
         self.ahead.retain(|t| ledger.may_run(*t));
         let next = PlanSeq(self.seq.0 + 1);
+        let unused_ms = ctx.settings.pace().unused_ms;
         let mut unused: Vec<TaskId> = Vec::new();
         for (t, g) in &mut self.granted {
             if on.contains_key(t) {
                 g.at = now;
-            } else if now.since(g.at) > GRANT_UNUSED_MS {
+            } else if now.since(g.at) > unused_ms {
                 unused.push(*t);
             }
         }
--- a/src/part.rs
+++ b/src/part.rs
@@ -9,13 +9,13 @@
 
 use rustc_hash::FxHashSet;
 
-use crate::config::NodeInfo;
+use crate::config::{NodeInfo, Pace};
 use crate::ledger::Ledger;
 use crate::model::{
     Attempt, Incarnation, JobId, MachineId, NodeId, PlanSeq, Ranges, Session, Steady, TaskId, Term,
 };
 use crate::peer::{Grant, MachineView, Plan, PlanBody, Stray, Summary, TaskView};
-use crate::place::{self, Flavors, Need, Room, SILENT_MS};
+use crate::place::{self, Flavors, Need, Room};
 use crate::term::Attempts;
 use crate::wire::{
     Cause, JobSpec, JobStage, Order, Piece, PieceStage, Report, ReportReply, Urgency,
@@ -132,14 +132,24 @@
 
     /// Whether it may be given tasks, as far as its own state tells. It must have shown this
     /// term's token, so it hears; and if it did, it refuses older orders.
-    fn usable(&self, now: Steady) -> bool {
-        self.settled && !self.warned && self.shun_until <= now && now.since(self.heard) < SILENT_MS
+    fn usable(&self, now: Steady, pace: &Pace) -> bool {
+        self.settled
+            && !self.warned
+            && self.shun_until <= now
+            && now.since(self.heard) < pace.silent_ms
     }
 
     fn room(&self, id: &MachineId, env: &Surroundings<'_>, open: bool) -> Option<Room> {
         let tasks = self.tasks.iter().map(|(t, h)| (*t, h.stage));
         let what = (id, &self.hull, &self.zone, self.spot);
-        Room::of(what, tasks, &self.images, env.flavors, env.ledger, open && self.usable(env.now))
+        Room::of(
+            what,
+            tasks,
+            &self.images,
+            env.flavors,
+            env.ledger,
+            open && self.usable(env.now, &env.pace),
+        )
     }
 
     /// Takes the tasks of a report; says whether anything changed, whether other tasks are on
@@ -248,8 +258,8 @@
     pub alone: bool,
     /// Milliseconds for which workers keep tasks without an answer.
     pub lease_ms: u64,
-    /// Seconds between two reports of a worker.
-    pub report_s: f64,
+    /// How often workers report.
+    pub pace: Pace,
 }
 
 /// The part.
@@ -452,7 +462,7 @@
                 }
                 self.on_own_report(env, report)
             }
-            Some(owner) => match self.route(env.now, &report.host) {
+            Some(owner) => match self.route(env.now, &env.pace, &report.host) {
                 Route::Send => self.go(env, usize::from(owner.0)),
                 Route::Keep => self.on_stray_report(env, report, false),
                 Route::Cut => self.on_stray_report(env, report, true),
@@ -507,12 +517,13 @@
     /// What to do with a machine of another part: it is sent to its owner. If it comes back
     /// late, the owner cannot be reached. If it comes back at once, the owner refuses, as one
     /// does that has just started, so after an answer here it is sent there again.
-    fn route(&mut self, now: Steady, id: &MachineId) -> Route {
+    fn route(&mut self, now: Steady, pace: &Pace, id: &MachineId) -> Route {
+        let again_ms = pace.stray_ms + 5_000;
         let stray = self.strays.get(id);
-        if stray.is_some_and(|s| s.back.is_some() && now.since(s.last) < 6_000) {
+        if stray.is_some_and(|s| s.back.is_some() && now.since(s.last) < pace.stray_ms + 2_000) {
             return Route::Cut;
         }
-        let Some(r) = self.redirected.get_mut(id).filter(|r| now.since(r.at) < 8_000) else {
+        let Some(r) = self.redirected.get_mut(id).filter(|r| now.since(r.at) < again_ms) else {
             self.redirected.insert(id.clone(), Redirected { at: now, tries: 1, seen: false });
             return Route::Send;
         };
@@ -765,9 +776,8 @@
             .iter()
             .filter_map(|(id, m)| {
                 let mut room = m.room(id, env, !self.drained.contains(id))?;
-                let since = env.now.since(m.heard) as f64 / 1000.0;
                 room.slow = self.body.slow.contains(id);
-                room.delay_s = (env.report_s - since).max(0.0);
+                room.delay_s = env.pace.delay_s(env.now.since(m.heard));
                 Some(room).filter(|r| r.open)
             })
             .collect();
@@ -794,10 +804,11 @@
     }
 
     /// What the leader is told.
-    pub fn summary(&mut self, now: Steady) -> Summary {
+    pub fn summary(&mut self, now: Steady, pace: &Pace) -> Summary {
         self.number += 1;
-        self.strays.retain(|_, s| now.since(s.last) < 10_000);
-        self.redirected.retain(|_, r| now.since(r.at) < 10_000);
+        let kept_ms = pace.stray_ms + 7_000;
+        self.strays.retain(|_, s| now.since(s.last) < kept_ms);
+        self.redirected.retain(|_, r| now.since(r.at) < kept_ms);
         self.sent_away.retain(|_, at| now.since(*at) < SENT_AWAY_MS);
         self.answered.retain(|_, at| now.since(*at) < 120_000);
         self.sent.push_back((self.number, now));
@@ -975,7 +986,7 @@
         use PieceStage::{Ended, Running};
         let mut core = node(0);
         assert!(hear(&mut core, 1_000, &report(2, 9, 3, Some(Running))).0);
-        let told = core.part.summary(Steady(2_000));
+        let told = core.summary(Steady(2_000));
         let copies = [
             report(2, 9, 3, Some(Running)),
             report(2, 8, 3, None),
@@ -985,7 +996,7 @@
         for copy in &copies {
             assert_eq!(hear(&mut core, 2_000, copy), (false, 0), "{copy:?}");
         }
-        let now = core.part.summary(Steady(2_000));
+        let now = core.summary(Steady(2_000));
         assert_eq!(now.machines, told.machines, "nothing freed, settled or revived");
         assert_eq!(now.answered, told.answered, "its silence goes on");
         assert_eq!(now.finished, [(1, Ranges::span(0, 1))], "a completed task stays completed");
@@ -1024,7 +1035,7 @@
         assert_eq!(hear(&mut core, 0, &report(1, 1, 2, None)), (true, 0), "token not shown");
         assert_eq!(hear(&mut core, 500, &report(1, 2, 3, None)), (true, 1));
         assert_eq!(hear(&mut core, 1_500, &report(1, 3, 3, None)), (true, 0), "not shown");
-        let view = core.part.summary(Steady(1_500)).machines.remove(0);
+        let view = core.summary(Steady(1_500)).machines.remove(0);
         assert!(view.shun_ms > 0 && view.tasks.is_empty(), "{view:?}");
         assert_eq!(hear(&mut core, 5_000, &report(1, 4, 3, None)), (true, 1), "tried again");
         let shown = report(1, 5, 3, Some(PieceStage::Ended));
@@ -1053,7 +1064,7 @@
             [(0, 1, 2, 0), (1_000, 2, 2, 0), (1_400, 3, 3, 1), (1_450, 2, 2, 1)]
         {
             hear(&mut core, ms, &report(1, tally, baton, None));
-            assert_eq!(core.part.summary(Steady(ms)).strays.len(), told, "{ms}");
+            assert_eq!(core.summary(Steady(ms)).strays.len(), told, "{ms}");
         }
     }
 
@@ -1070,7 +1081,7 @@
             for (n, (ms, kept, told)) in case.iter().enumerate() {
                 let got = hear(&mut core, *ms, &report(1, n as u64 + 1, 3, None)).0;
                 assert_eq!(got, *kept, "{ms}");
-                let strays = core.part.summary(Steady(*ms + 3_000)).strays;
+                let strays = core.summary(Steady(*ms + 3_000)).strays;
                 assert_eq!(strays.iter().any(|s| s.since_ms > 2_500), *told, "{ms}");
             }
         }
--- a/src/place.rs
+++ b/src/place.rs
@@ -187,9 +187,6 @@
 /// The same where the job's own image is, too: a warm machine is mostly worth it.
 const WARM_S_PER_GB: f64 = 0.1;
 
-/// A machine that has not reported for that long takes nothing new.
-pub const SILENT_MS: u64 = 4_000;
-
 /// What it costs to place a task on a machine, in seconds.
 fn cost(spec: &JobSpec, need: &Need, r: &Room) -> f64 {
     r.fetch_s(spec)
