New terms are announced to machines; deaf controllers and the last few machines hold up less

Change: an owner sends each unsettled machine an empty direct command with the token (POST /do), whose answer settles it; machines' addresses are on record for owners they never reported to. Summaries tell when any worker last reported; a controller that hears none while others do gets no part for 60 s. A fiftieth of the machines at most that keep a proof waiting alone is returned a report and 6 s into the term.

--- a/src/core.rs
+++ b/src/core.rs
@@ -9,7 +9,7 @@
 use crate::lead::{Context, Epoch, Lead};
 use crate::ledger::{self, Brought, LeadRecord, Ledger, MemberRecord, TermRecord};
 use crate::model::{Incarnation, JobId, NodeId, Revision, Steady, StoreLease, Term, Wall};
-use crate::part::{Part, ReportAnswer, Surroundings};
+use crate::part::{Announcement, Part, ReportAnswer, Surroundings};
 use crate::peer::{Plan, Summary, Tell};
 use crate::place::Flavors;
 use crate::term::Rights;
@@ -288,8 +288,12 @@
             && self.rights.synced_at().is_some_and(|at| now.since(at) > ALONE_MS)
     }
 
-    /// Answers a worker's report.
-    pub fn on_report(&mut self, now: Steady, report: &Report) -> ReportAnswer {
+    /// Does something with the part and what it needs to see.
+    fn with_part<T>(
+        &mut self,
+        now: Steady,
+        act: impl FnOnce(&mut Part, &Surroundings<'_>) -> T,
+    ) -> T {
         let env = Surroundings {
             now,
             may_answer: self.loaded && self.rights.may_answer(now),
@@ -300,7 +304,26 @@
             lease_ms: self.settings.worker_lease_ms(),
             pace: self.settings.pace(),
         };
-        self.part.on_report(&env, report)
+        act(&mut self.part, &env)
+    }
+
+    /// Answers a worker's report.
+    pub fn on_report(&mut self, now: Steady, report: &Report) -> ReportAnswer {
+        self.with_part(now, |part, env| part.on_report(env, report))
+    }
+
+    /// Machines that are to be told of the term straight away, up to `most`. Only a node that may
+    /// answer workers does that.
+    pub fn to_announce(&mut self, now: Steady, most: usize) -> Vec<Announcement> {
+        if !self.loaded || !self.rights.may_answer(now) {
+            return Vec::new();
+        }
+        self.part.to_announce(now, &self.ledger, most)
+    }
+
+    /// Takes a machine's answer to the announcement of a term.
+    pub fn on_announced(&mut self, now: Steady, report: &Report) {
+        self.with_part(now, |part, env| part.on_announced(env, report));
     }
 
     /// As the leader, takes a summary and answers with the plan; also says whether an epoch
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -2,6 +2,7 @@
 //! the proofs that a machine, or what was on it, is gone.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::rc::Rc;
 
 use rustc_hash::FxHashMap;
 
@@ -31,6 +32,15 @@
 const MANY_PART: usize = 6;
 const MANY_LEAST: usize = 8;
 const CUT_OFF_MS: u64 = 60_000;
+/// How long a controller that hears no workers gets no part.
+const UNHEARD_MS: u64 = 60_000;
+/// A controller hears workers if one reported within that time.
+const HEARS_MS: u64 = 2_000;
+/// Part of the machines, and least number of them, that are returned when only they keep a proof
+/// waiting; how long that is waited for beyond a report.
+const FEW_PART: usize = 50;
+const FEW_LEAST: usize = 2;
+const FEW_WAIT_MS: u64 = 6_000;
 /// Removed machines of which parts are told, before they are told all owners anew.
 const GONE_TOLD: usize = 400;
 
@@ -48,6 +58,8 @@
     pub up_ms: u64,
     /// How long the store had not served it.
     pub served_ms: u64,
+    /// How long no worker had reported to it.
+    pub heard_ms: u64,
     /// When that was heard.
     pub at: Steady,
     /// Jobs that fail wherever it tries them.
@@ -73,6 +85,8 @@
     pub since: Steady,
     /// Whether it has reported.
     pub up: bool,
+    /// Where its worker listens, once it has.
+    pub endpoint: Rc<str>,
     /// When something last ran on it.
     pub busy: Steady,
     /// The plan from which on it takes nothing new.
@@ -127,6 +141,10 @@
     /// still remembers of that session is over.
     pub lapsed: BTreeMap<MachineId, Session>,
     absent: HashMap<NodeId, (u64, Steady)>,
+    /// Controllers that hear no workers, and until when they get no part for that.
+    unheard: HashMap<NodeId, Steady>,
+    /// Whether tasks wait for the proof that they are not on an unsettled machine.
+    pub awaited: bool,
     /// All machines that are held.
     pub machines: BTreeMap<MachineId, FleetMachine>,
 }
@@ -144,12 +162,15 @@
             heard: HashMap::new(),
             lapsed: BTreeMap::new(),
             absent: HashMap::new(),
+            unheard: HashMap::new(),
+            awaited: false,
             machines: BTreeMap::new(),
         };
         if let Some(old) = before {
             fleet.gone = old.gone;
             fleet.heard = old.heard;
             fleet.absent = old.absent;
+            fleet.unheard = old.unheard;
             fleet.machines = old.machines;
             for m in fleet.machines.values_mut() {
                 m.draining = m.draining.map(|_| PlanSeq(1));
@@ -185,6 +206,7 @@
             echo_ms: 0,
             up_ms: 0,
             served_ms: 0,
+            heard_ms: 0,
             at: now,
             failing: Vec::new(),
             strays: Vec::new(),
@@ -200,6 +222,7 @@
         state.echo_ms = s.echo_ms;
         state.up_ms = s.up_ms;
         state.served_ms = s.served_ms;
+        state.heard_ms = s.heard_ms;
         state.at = now;
         state.failing = s.failing;
         state.strays = s.strays;
@@ -241,11 +264,40 @@
         heard.map(|(id, _)| *id).collect()
     }
 
-    /// Controllers that may own machines: they are heard, and the store serves them. One that it
-    /// refuses knows neither new jobs nor cancellations, and its right to answer ends soon.
+    /// Controllers that may own machines: they are heard, the store serves them, and workers reach
+    /// them. One that the store refuses knows neither new jobs nor cancellations, and its right to
+    /// answer ends soon.
     pub fn able(&self, now: Steady) -> Vec<NodeId> {
         let served = |id: &NodeId| self.nodes.get(id).is_some_and(|n| n.served_ms < UNSERVED_MS);
-        self.live(now).into_iter().filter(served).collect()
+        let heard = |id: &NodeId| self.unheard.get(id).is_none_or(|until| *until <= now);
+        self.live(now).into_iter().filter(|id| served(id) && heard(id)).collect()
+    }
+
+    /// Notes controllers that hear none of their machines while others hear theirs: all their
+    /// machines have to move at once. Found one by one, they would move a few in every term.
+    pub fn note_unheard(&mut self, now: Steady, pace: &Pace) {
+        let limit = pace.stray_ms + 1_000;
+        if now.since(self.began) < limit + NODE_LOST_MS {
+            return;
+        }
+        let able = self.able(now);
+        let hears = |id: &NodeId| self.nodes.get(id).is_some_and(|n| n.heard_ms < HEARS_MS);
+        if !able.iter().any(hears) {
+            return;
+        }
+        let mut owned: HashMap<NodeId, usize> = HashMap::new();
+        for (id, (owner, _)) in &self.owners {
+            if self.machines.get(id).is_some_and(|m| m.up) {
+                *owned.entry(*owner).or_default() += 1;
+            }
+        }
+        for id in able {
+            let silent = self.nodes.get(&id).is_some_and(|n| n.heard_ms > limit);
+            if silent && owned.get(&id).is_some_and(|n| *n >= MANY_LEAST) {
+                tracing::warn!(node = id.0, "hears none of its machines");
+                self.unheard.insert(id, now.plus(UNHEARD_MS));
+            }
+        }
     }
 
     /// Whether a controller speaks for a machine: it owns it and follows a plan of this term
@@ -339,7 +391,7 @@
         // After an outage for all, the others' last word is still of that time.
         let calm = served_for > UNSERVED_MS + 2_000;
         if calm && !able.is_empty() && self.owners.values().any(|(o, _)| !able.contains(o)) {
-            return Some("the store does not serve the owner of machines");
+            return Some("the store or the workers do not reach the owner of machines");
         }
         let all_strays = self
             .nodes
@@ -478,6 +530,7 @@
             offer,
             since: now,
             up: false,
+            endpoint: "".into(),
             busy: now,
             draining: None,
             failed: false,
@@ -539,6 +592,9 @@
                 m.busy = now;
             }
             m.up = true;
+            if m.endpoint.is_empty() {
+                m.endpoint = k.view.endpoint.clone();
+            }
             if k.view.session > m.session {
                 if m.session > Session(0) {
                     m.losing |= m.lost_session.is_some_and(|at| now.since(at) < LOSING_MS);
@@ -607,20 +663,29 @@
         let calm = now.since(self.began) > lease;
         // Whatever an older controller kept alive has had time to come over.
         let deaf = now.since(self.began) > lease + plus_drift(ctx.settings.keep_alive_ms());
-        let quick = ctx.settings.pace().quick_ms;
+        let pace = ctx.settings.pace();
+        let quick = pace.quick_ms;
+        // The last few that do not show the token have mostly stopped, and what they may still run
+        // keeps tasks of many jobs waiting for a whole lease.
+        let up = self.machines.values().filter(|m| m.up).count();
+        let few = self.awaited
+            && self.unsettled.len() <= (up / FEW_PART).max(FEW_LEAST)
+            && now.since(self.began) > pace.gap_ms + FEW_WAIT_MS;
+        let all_strays = self.nodes.values().flat_map(|n| &n.strays);
+        let strays: HashSet<&MachineId> =
+            all_strays.filter(|s| s.silent_ms < pace.stray_ms).map(|s| &s.id).collect();
         let well: Vec<NodeId> =
             self.nodes.keys().copied().filter(|node| self.hears_well(ctx, *node)).collect();
         let silent_ms =
             |id: &MachineId| now.since(self.heard.get(id).copied().unwrap_or(self.began));
         // Many that fall silent at once are cut off: what they ran is proven over by their
         // leases, and they will be wanted when they are back, with their images.
-        let up = self.machines.values().filter(|m| m.up).count();
         let mute = self.machines.iter().filter(|(id, m)| m.up && silent_ms(id) > quick).count();
         let cut_off = mute > (up / MANY_PART).max(MANY_LEAST);
         let over = |id: &MachineId, m: &FleetMachine| {
             let startup = ctx.flavors.get(&m.offer.hull).map_or(60.0, |f| f.startup_s);
             let silent = silent_ms(id);
-            if m.failed || (deaf && self.unsettled.contains(id)) {
+            if m.failed || (self.unsettled.contains(id) && (deaf || few && !strays.contains(id))) {
                 return true;
             }
             match views.get(id) {
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -263,6 +263,7 @@
     /// Works out an epoch. Nothing of it holds before [`publish`](Self::publish).
     pub fn epoch(&mut self, ctx: &Context<'_>) -> Epoch {
         self.fleet.follow_members(ctx);
+        self.fleet.note_unheard(ctx.now, &ctx.settings.pace());
         self.check_nodes(ctx);
         self.fleet.assign(ctx, PlanSeq(self.seq.0 + 1));
         self.fleet.learn(ctx.now);
@@ -287,6 +288,7 @@
         }
         drop(on);
         self.fleet = fleet;
+        self.fleet.awaited = !self.limbo.is_empty();
         if due {
             self.drain_retired();
         }
@@ -1047,6 +1049,7 @@
                         spot: m.offer.spot,
                         up: true,
                         gone: None,
+                        endpoint: m.endpoint.to_string(),
                     };
                     machines.insert(id.clone(), record);
                 }
@@ -1404,6 +1407,7 @@
             hull: "small".into(),
             zone: "a".into(),
             spot: false,
+            endpoint: "10.1.0.1:9000".into(),
             session: Session(1),
             settled,
             leaving: false,
@@ -1432,6 +1436,7 @@
             echo_ms: 0,
             up_ms: ms,
             served_ms: 0,
+            heard_ms: 0,
             answered: machines.iter().map(|m| (m.id.clone(), 0)).collect(),
             machines,
             strays: vec![],
@@ -1470,6 +1475,7 @@
             echo_ms: 0,
             up_ms: 0,
             served_ms: 0,
+            heard_ms: 0,
             answered: vec![],
             machines: vec![view("n-1", true, &[])],
             strays: vec![],
@@ -1548,6 +1554,10 @@
             core.with_lead(at(ms), |lead, ctx| lead.fleet.to_return(ctx)).unwrap()
         };
         assert!(returned(&mut core, 1_100).is_empty());
+        // Tasks that may be on it wait for it alone, so it goes before its lease has run out.
+        assert!(returned(&mut core, 7_200).is_empty(), "it may still report");
+        assert_eq!(returned(&mut core, 7_300), [MachineId::new("n-1")]);
+        core.lead.as_mut().unwrap().limbo.clear();
         assert!(returned(&mut core, 9_000).is_empty(), "its lease may still run");
         assert_eq!(returned(&mut core, 12_500), [MachineId::new("n-1")]);
     }
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -79,6 +79,9 @@
     /// for what they are.
     #[serde(default)]
     pub gone: Option<Wall>,
+    /// Where its worker listens, for controllers that it never reported to.
+    #[serde(default)]
+    pub endpoint: String,
 }
 
 /// Machines that are written together.
@@ -537,6 +540,7 @@
             spot: false,
             up: true,
             gone: None,
+            endpoint: String::new(),
         };
         let machines = ids.iter().map(|id| (MachineId::new(id), record.clone()));
         MachineGroup { machines: machines.collect() }
--- a/src/part.rs
+++ b/src/part.rs
@@ -38,6 +38,10 @@
 const SENT_AWAY_MS: u64 = 20_000;
 /// Most machines of which the newest report is remembered.
 const LATEST_KEPT: usize = 8_192;
+/// How often a machine is told of a term straight away, and the time before the second try, which
+/// doubles for the next.
+const ANNOUNCEMENTS: u32 = 4;
+const ANNOUNCE_AGAIN_MS: u64 = 1_500;
 
 /// Completed tasks of a job that are not known to be on record yet.
 #[derive(Clone, Debug, Default)]
@@ -79,6 +83,7 @@
     hull: Rc<str>,
     zone: Rc<str>,
     spot: bool,
+    endpoint: Rc<str>,
     session: Session,
     settled: bool,
     heard: Steady,
@@ -100,6 +105,7 @@
             hull: report.hull.as_str().into(),
             zone: report.yard.as_str().into(),
             spot: report.loaners,
+            endpoint: report.endpoint.as_str().into(),
             session: report.tenure,
             settled: false,
             heard: now,
@@ -234,6 +240,24 @@
     refuse_until: Steady,
 }
 
+/// The newest report of a machine, and where its worker listens.
+#[derive(Clone, Debug)]
+struct Newest {
+    order: (Session, u64),
+    endpoint: Rc<str>,
+}
+
+/// A machine that is to be told of the term straight away.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Announcement {
+    /// Where its worker listens.
+    pub endpoint: Rc<str>,
+    /// The term.
+    pub term: Term,
+    /// Its session, as far as known.
+    pub session: Session,
+}
+
 /// Errors of a job's tasks, to tell a faulty job from a faulty machine.
 #[derive(Clone, Debug, Default)]
 struct JobFaults {
@@ -277,7 +301,11 @@
     drained: HashSet<MachineId>,
     machines: BTreeMap<MachineId, Machine>,
     /// Newest report seen of any machine, against late copies.
-    latest: HashMap<MachineId, (Session, u64)>,
+    latest: HashMap<MachineId, Newest>,
+    /// How often machines were told of this term straight away, and when last.
+    announced: HashMap<MachineId, (u32, Steady)>,
+    /// Whether there may be machines that have to be.
+    announcing: bool,
     unheeded: HashMap<MachineId, Unheeded>,
     answered: BTreeMap<MachineId, Steady>,
     redirected: HashMap<MachineId, Redirected>,
@@ -299,6 +327,8 @@
     /// Whether granted tasks found no machine.
     unplaced: bool,
     queued: usize,
+    /// When any worker last reported here.
+    heard: Steady,
     /// Set when something happened that the leader should hear of soon.
     pub news: bool,
 }
@@ -319,6 +349,8 @@
             drained: HashSet::new(),
             machines: BTreeMap::new(),
             latest: HashMap::new(),
+            announced: HashMap::new(),
+            announcing: false,
             unheeded: HashMap::new(),
             answered: BTreeMap::new(),
             redirected: HashMap::new(),
@@ -334,6 +366,7 @@
             assigned: Steady(0),
             unplaced: false,
             queued: 0,
+            heard: Steady(0),
             news: false,
         }
     }
@@ -365,6 +398,7 @@
         // Owners may change with the term, so nobody is known to be out of reach of his.
         self.redirected.clear();
         self.strays.clear();
+        self.announced.clear();
         self.unheeded.clear();
         self.told = None;
         self.unplaced = false;
@@ -414,6 +448,7 @@
         self.seq = plan.seq;
         self.clock_ms = plan.clock_ms;
         self.assign = true;
+        self.announcing = true;
         true
     }
 
@@ -430,6 +465,7 @@
 
     /// Answers a report.
     pub fn on_report(&mut self, env: &Surroundings<'_>, report: &Report) -> ReportAnswer {
+        self.heard = env.now;
         // A completed task stays completed whoever reports it and however late.
         self.note_finished(env.now, env.ledger, report);
         if !env.may_answer || self.term == Term(0) || report.baton > self.term {
@@ -440,15 +476,9 @@
         }
         // A late copy tells of a past that newer reports have overtaken. It settles nothing,
         // and its answer would reach nobody.
-        let order = (report.tenure, report.tally);
-        if self.latest.get(&report.host).is_some_and(|newest| order <= *newest) {
+        if !self.is_newest(report) {
             return ReportAnswer::Refuse;
         }
-        if self.latest.len() >= LATEST_KEPT {
-            let owners = &self.owners;
-            self.latest.retain(|id, _| owners.contains_key(id));
-        }
-        self.latest.insert(report.host.clone(), order);
         if !self.heeds(env, report) {
             return ReportAnswer::Refuse;
         }
@@ -471,6 +501,82 @@
         }
     }
 
+    /// Whether a report is newer than all others of its machine; remembers it if so.
+    fn is_newest(&mut self, report: &Report) -> bool {
+        let order = (report.tenure, report.tally);
+        if let Some(newest) = self.latest.get_mut(&report.host) {
+            if order <= newest.order {
+                return false;
+            }
+            newest.order = order;
+            if *newest.endpoint != *report.endpoint {
+                newest.endpoint = report.endpoint.as_str().into();
+            }
+            return true;
+        }
+        if self.latest.len() >= LATEST_KEPT {
+            let owners = &self.owners;
+            self.latest.retain(|id, _| owners.contains_key(id));
+        }
+        let newest = Newest { order, endpoint: report.endpoint.as_str().into() };
+        self.latest.insert(report.host.clone(), newest);
+        true
+    }
+
+    /// Machines of this part that have not shown the term's token and are to be told of it
+    /// straight away, up to `most`: nothing starts on them before they show it, and tasks of
+    /// earlier terms wait for the proof.
+    pub fn to_announce(&mut self, now: Steady, ledger: &Ledger, most: usize) -> Vec<Announcement> {
+        if !self.announcing || self.seq == PlanSeq(0) {
+            return Vec::new();
+        }
+        let mut open = false;
+        let mut out = Vec::new();
+        for (id, _) in self.owners.iter().filter(|(_, owner)| **owner == self.me) {
+            if self.machines.get(id).is_some_and(|m| m.settled) {
+                continue;
+            }
+            let newest = self.latest.get(id).map(|n| (n.endpoint.clone(), n.order.0));
+            let known = || ledger.machines.get(id).filter(|m| m.up && m.gone.is_none());
+            let on_record = || known().map(|m| (m.endpoint.as_str().into(), Session(1)));
+            let Some((endpoint, session)) = newest.or_else(on_record) else { continue };
+            let (tries, at) = self.announced.get(id).copied().unwrap_or_default();
+            if endpoint.is_empty() || tries >= ANNOUNCEMENTS {
+                continue;
+            }
+            open = true;
+            let due = tries == 0 || now.since(at) >= ANNOUNCE_AGAIN_MS << (tries - 1);
+            if due && out.len() < most {
+                self.announced.insert(id.clone(), (tries + 1, now));
+                out.push(Announcement { endpoint, term: self.term, session });
+            }
+        }
+        self.announcing = open;
+        out
+    }
+
+    /// Takes a machine's answer to the announcement of a term: it shows the token and the machine's
+    /// tasks as a report does. It counts only for a machine that has not settled: none of this
+    /// term's starts can be on its way to it then.
+    pub fn on_announced(&mut self, env: &Surroundings<'_>, report: &Report) {
+        self.note_finished(env.now, env.ledger, report);
+        let id = &report.host;
+        if env.ledger.machine_gone(id)
+            || self.machines.get(id).is_some_and(|m| m.settled)
+            || !self.is_newest(report)
+        {
+            return;
+        }
+        if report.baton == self.term && self.owners.get(id) == Some(&self.me) {
+            self.take_state(env, report);
+            // Its session may have begun just now, without any answer: its lease counts from here.
+            self.answered.insert(id.clone(), env.now);
+        } else if let Some(told) = self.announced.get_mut(id) {
+            // Its session was not known; now it is.
+            told.1 = told.1.less(ANNOUNCE_AGAIN_MS << ANNOUNCEMENTS);
+        }
+    }
+
     fn go(&self, env: &Surroundings<'_>, node: usize) -> ReportAnswer {
         let name = env.nodes.get(node).map(|n| n.name.clone());
         name.map_or(ReportAnswer::Refuse, ReportAnswer::Go)
@@ -595,7 +701,9 @@
         }
     }
 
-    fn on_own_report(&mut self, env: &Surroundings<'_>, report: &Report) -> ReportAnswer {
+    /// Takes what a report of a machine of this part tells of it; says whether it has more room
+    /// than before.
+    fn take_state(&mut self, env: &Surroundings<'_>, report: &Report) -> bool {
         let now = env.now;
         let next = self.number + 1;
         let machine =
@@ -622,6 +730,12 @@
             let shown = report.pieces.iter().map(|p| (p.piece, p.r#try));
             self.spent.extend(shown.filter(|p| self.gangs.contains(&p.1)));
         }
+        freed
+    }
+
+    fn on_own_report(&mut self, env: &Surroundings<'_>, report: &Report) -> ReportAnswer {
+        let now = env.now;
+        let freed = self.take_state(env, report);
         let mut orders = kills(env.ledger, &report.pieces);
         self.clear_ended(env, report, &mut orders);
         self.start_granted(env, &report.host, freed, &mut orders);
@@ -828,6 +942,7 @@
             echo_ms: self.clock_ms,
             up_ms: now.0,
             served_ms: 0,
+            heard_ms: now.since(self.heard),
             machines: machines.map(|(id, m)| view(id, m, now)).collect(),
             answered: answered.map(|(id, at)| (id.clone(), now.since(*at))).collect(),
             strays: self
@@ -867,6 +982,7 @@
         hull: m.hull.clone(),
         zone: m.zone.clone(),
         spot: m.spot,
+        endpoint: m.endpoint.clone(),
         settled: m.settled,
         session: m.session,
         leaving: m.warned,
@@ -956,7 +1072,7 @@
         };
         Report {
             host: MachineId::new("n-1"),
-            endpoint: String::new(),
+            endpoint: "10.1.0.1:9000".into(),
             hull: "small".into(),
             yard: "a".into(),
             loaners: false,
@@ -981,6 +1097,36 @@
         }
     }
 
+    #[test]
+    fn an_announced_term_settles_a_machine_once_and_its_lease_counts_from_there() {
+        use PieceStage::Running;
+        let mut core = node(0);
+        core.rights.confirm_renewal(Steady(1_000));
+        core.rights.confirm_sync(Steady(1_000));
+        // It reported before the term: told at once, then after growing pauses, then no more.
+        assert!(core.part.is_newest(&report(1, 5, 2, Some(Running))));
+        let told = |core: &mut Core, ms| core.to_announce(Steady(ms), 8).len();
+        let times = [(1_000, 1), (1_100, 0), (2_500, 1), (4_000, 0), (5_500, 1)];
+        for (ms, count) in times {
+            assert_eq!(told(&mut core, ms), count, "{ms}");
+        }
+        // (tenure, tally, token, whether it is settled then); the session was not known at first.
+        for (tenure, tally, baton, settled) in [(2, 6, 2, false), (2, 6, 3, false), (2, 7, 3, true)]
+        {
+            core.on_announced(Steady(6_000), &report(tenure, tally, baton, Some(Running)));
+            let now = core.summary(Steady(6_000));
+            let is = now.machines.iter().any(|m| m.settled && m.tasks.len() == 1);
+            assert_eq!(is, settled, "{tenure} {tally} {baton}");
+            // Seen on a bench day: a machine whose session had begun just now counted as silent
+            // since it was rented, so what ran on it was started again.
+            assert_eq!(now.answered.len(), usize::from(settled), "{tenure} {tally} {baton}");
+        }
+        assert_eq!(told(&mut core, 9_000), 0);
+        // A later answer may be older than a start on its way: it changes nothing any more.
+        core.on_announced(Steady(6_500), &report(2, 8, 3, None));
+        assert!(core.summary(Steady(6_500)).machines.iter().all(|m| m.tasks.len() == 1));
+    }
+
     #[test]
     fn late_copies_change_nothing_but_what_they_completed() {
         use PieceStage::{Ended, Running};
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -55,6 +55,8 @@
     pub zone: Rc<str>,
     /// Spot or ordinary.
     pub spot: bool,
+    /// Where its worker listens.
+    pub endpoint: Rc<str>,
     /// Whether its last report carried the sender's term: it refuses orders of older ones,
     /// and its task list is the truth.
     pub settled: bool,
@@ -110,6 +112,8 @@
     pub up_ms: u64,
     /// Milliseconds since the store last served it.
     pub served_ms: u64,
+    /// Milliseconds since any worker last reported to it.
+    pub heard_ms: u64,
     /// The machines of its part that changed since the base.
     pub machines: Vec<MachineView>,
     /// For every machine it answered since the base: milliseconds since the last answer.
--- a/src/service.rs
+++ b/src/service.rs
@@ -21,12 +21,12 @@
 use crate::ledger::{self, Brought};
 use crate::meter::{Meter, Work};
 use crate::model::{Incarnation, JobId, NodeId, Revision, Steady, Term, Wall};
-use crate::part::ReportAnswer;
+use crate::part::{Announcement, ReportAnswer};
 use crate::peer::{self, Ask, Relayed, Summary, Tell};
 use crate::relay;
 use crate::state::{Committed, StateClient, StateError};
 use crate::term::LEASE_MS;
-use crate::wire::{self, Change, Guard, Item, JobSpec, Rental, Txn};
+use crate::wire::{self, Change, Direct, Guard, Item, JobSpec, Rental, Txn};
 
 /// Longest wait between two epochs; arrivals and reports bring them sooner.
 const EPOCH: Duration = Duration::from_millis(1_000);
@@ -46,6 +46,9 @@
 const DIRECT_AGAIN_MS: u64 = 2_500;
 /// Most machines in one rental, as the cloud has it.
 const MOST_RENTED: u32 = 50;
+/// Time between two looks at who is to be told of a term, and how long telling may take.
+const ANNOUNCE: Duration = Duration::from_millis(100);
+const ANNOUNCE_LIMIT: Duration = Duration::from_millis(1_000);
 /// Least time between two writes of completions.
 const GATHER: Duration = Duration::from_millis(150);
 
@@ -65,6 +68,11 @@
     Failed,
 }
 
+/// Machines that are told of a term at a time, so that the rest of the sockets is left alone.
+fn announcements(sockets: usize) -> usize {
+    (sockets / 40).clamp(8, 64)
+}
+
 /// Bounds of the public address: all workers of a fleet must fit in, whatever users do.
 fn public_limits(connections: usize) -> ServerLimits {
     let kind = |path: &str| match path.starts_with("/api/") {
@@ -104,6 +112,7 @@
     relaying: RefCell<HashMap<NodeId, (Steady, Tell)>>,
     /// User requests being served.
     pub(crate) serving: Cell<usize>,
+    announcing: Cell<usize>,
     meter: Meter,
     /// Microseconds that the last epoch took.
     epoch_us: Cell<u64>,
@@ -139,6 +148,7 @@
             accepts: RefCell::default(),
             relaying: RefCell::default(),
             serving: Cell::new(0),
+            announcing: Cell::new(0),
             meter: Meter::default(),
             epoch_us: Cell::new(0),
         }
@@ -170,7 +180,7 @@
         let s = self.clone();
         spawn_local(http::serve(
             api,
-            public_limits(sockets.saturating_sub(80).max(32)),
+            public_limits(sockets.saturating_sub(80 + announcements(sockets)).max(32)),
             move |request| {
                 let s = s.clone();
                 async move { s.answer(request).await }
@@ -192,6 +202,7 @@
         spawn_local(self.clone().serve_confirms());
         spawn_local(self.clone().describe());
         spawn_local(self.clone().ask_who_leads());
+        spawn_local(self.clone().announce_term());
         self.follow_store().await;
         Ok(())
     }
@@ -447,6 +458,43 @@
         }
     }
 
+    /// Tells machines of a new term straight away, so that what they may still run and what may
+    /// start on them does not wait for their next report.
+    async fn announce_term(self: Rc<Self>) {
+        let most = announcements(self.settings.params.limits.sockets);
+        loop {
+            sleep(ANNOUNCE).await;
+            let room = most.saturating_sub(self.announcing.get());
+            let due = self.core.borrow_mut().to_announce(self.now(), room);
+            for a in due {
+                let s = self.clone();
+                s.announcing.set(s.announcing.get() + 1);
+                spawn_local(async move {
+                    s.announce(&a).await;
+                    s.announcing.set(s.announcing.get().saturating_sub(1));
+                });
+            }
+        }
+    }
+
+    async fn announce(&self, a: &Announcement) {
+        let Ok(addr) = a.endpoint.parse() else { return };
+        let body = wire::encode(&Direct { baton: a.term, tenure: a.session, orders: vec![] });
+        let client = Client::new(addr, wire::BODY_LIMIT * 4);
+        let Ok(answer) = client.call("POST", "/do", &body, ANNOUNCE_LIMIT).await else { return };
+        if !matches!(answer.status, 200 | 409) {
+            return;
+        }
+        if let Ok(report) = wire::decode::<wire::Report>(&answer.body) {
+            let mut core = self.core.borrow_mut();
+            let now = self.now();
+            self.meter.time(Work::Report, || core.on_announced(now, &report));
+            if core.part.news {
+                self.wake_part.notify_one();
+            }
+        }
+    }
+
     /// As the leader, takes a summary and answers with the plan.
     fn take_summary(&self, summary: Summary) -> Tell {
         let now = self.now();
--- a/tests/sim/worker.rs
+++ b/tests/sim/worker.rs
@@ -150,27 +150,40 @@
         self.tally += 1;
         self.in_flight = Some((self.tally, now));
         self.next = now + self.rhythm;
+        Some((self.target, self.state()))
+    }
+
+    /// Answers a direct command without orders: with its report, whether it took the token or not.
+    pub fn direct(&mut self, now: u64, baton: u64, tenure: u64) -> Report {
+        if baton >= self.baton && tenure == self.session {
+            if baton > self.baton {
+                self.next = self.next.min(now + 500);
+            }
+            self.baton = baton;
+        }
+        self.tally += 1;
+        self.state()
+    }
+
+    fn state(&self) -> Report {
         let pieces = self.tasks.iter().map(|((task, attempt), t)| Piece {
             piece: *task,
             r#try: *attempt,
             stage: t.stage,
             cause: t.cause,
         });
-        Some((
-            self.target,
-            Report {
-                host: self.name(),
-                endpoint: format!("10.1.0.{}:9000", self.id + 1),
-                hull: "small".into(),
-                yard: self.zone.into(),
-                loaners: false,
-                tenure: Session(self.session),
-                tally: self.tally,
-                baton: Term(self.baton),
-                warning_s: None,
-                pieces: pieces.collect(),
-            },
-        ))
+        Report {
+            host: self.name(),
+            endpoint: self.id.to_string(),
+            hull: "small".into(),
+            yard: self.zone.into(),
+            loaners: false,
+            tenure: Session(self.session),
+            tally: self.tally,
+            baton: Term(self.baton),
+            warning_s: None,
+            pieces: pieces.collect(),
+        }
     }
 
     /// The answer to the report with that tally; others are too late and go unheard.
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -8,7 +8,7 @@
 use willowshore::config::Settings;
 use willowshore::core::{Core, Moment, accept_txn};
 use willowshore::model::{Incarnation, JobId, NodeId, Steady, TaskId, Wall};
-use willowshore::part::ReportAnswer;
+use willowshore::part::{Announcement, ReportAnswer};
 use willowshore::peer::{Summary, Tell};
 use willowshore::state::Committed;
 use willowshore::term::LEASE_MS;
@@ -91,6 +91,10 @@
     /// A late copy of a report to that node; nobody waits for its answer.
     Copy(usize, Report),
     Reply(usize, u64, Answer),
+    /// A node announces its term to a worker; when it was sent.
+    Announce(usize, usize, Announcement, u64),
+    /// The worker's answer to that.
+    Announced(usize, Report, u64),
     Summary(usize, usize, Box<Summary>),
     Tell(usize, Tell),
 }
@@ -485,6 +489,34 @@
                     node.core.on_report(steady, &report);
                 }
             }
+            Message::Announce(_, w, ..) if self.deaf.iter().any(|d| d.0 == w && now < d.1) => {}
+            Message::Announce(n, w, announced, sent) => {
+                let worker = &mut self.workers[w];
+                if worker.gone {
+                    return;
+                }
+                if !worker.active(now) {
+                    // A hanging machine carries it out when it goes on.
+                    let until = worker.hung_until;
+                    self.sent += 1;
+                    let message = Message::Announce(n, w, announced, sent);
+                    self.messages.insert((until, self.sent), message);
+                    return;
+                }
+                let report = worker.direct(now, announced.term.0, announced.session.0);
+                let message = Message::Announced(n, report, sent);
+                self.send(Place::Worker(w), Place::Node(n), message);
+            }
+            Message::Announced(n, report, sent) => {
+                // Nobody waits for it any more after a second.
+                if let Ok(node) = &mut self.nodes[n]
+                    && now - sent < 1_000
+                    && sent >= node.started
+                {
+                    let steady = node.moment(now).steady;
+                    node.core.on_announced(steady, &report);
+                }
+            }
             Message::Reply(w, ..) if self.deaf.iter().any(|d| d.0 == w && now < d.1) => {}
             Message::Reply(w, tally, answer) => {
                 let changes = self.workers[w].answer(now, tally, answer);
@@ -538,6 +570,19 @@
         }
         self.summarize(n);
         self.lead(n);
+        self.announce(n);
+    }
+
+    fn announce(&mut self, n: usize) {
+        let now = self.now;
+        let Ok(node) = &mut self.nodes[n] else { return };
+        let steady = node.moment(now).steady;
+        for a in node.core.to_announce(steady, 8) {
+            if let Ok(w) = a.endpoint.parse() {
+                let message = Message::Announce(n, w, a, now);
+                self.send(Place::Node(n), Place::Worker(w), message);
+            }
+        }
     }
 
     fn due(&mut self, n: usize, which: usize, every: u64) -> bool {
