Repeated epoch writes change nothing; a restarted machine is told from late copies of itself

Cause 1 (ran_twice): an epoch's transaction was guarded by the leader's key only, so one that the store carried out once more, a second late, put older machine groups and grants back; a machine that was up was missing on the record, and the next leader did not wait for it. Change: every key that an epoch writes is guarded by its version; empty groups stay. Cause 2 (a term every 15 s without end): a machine that was restarted counts from 1 again; its owner refused it as a late copy, a controller without memory of it kept it alive as one that cannot reach its owner. Change: on an old report the machine itself is asked (once in 10 s); if its answer is not newer it was restarted, is told of and returned.

--- a/src/core.rs
+++ b/src/core.rs
@@ -321,9 +321,9 @@
         self.part.to_announce(now, &self.ledger, most)
     }
 
-    /// Takes a machine's answer to the announcement of a term.
-    pub fn on_announced(&mut self, now: Steady, report: &Report) {
-        self.with_part(now, |part, env| part.on_announced(env, report));
+    /// Takes a machine's answer to an announcement.
+    pub fn on_announced(&mut self, now: Steady, asked: &Announcement, report: &Report) {
+        self.with_part(now, |part, env| part.on_announced(env, asked, report));
     }
 
     /// As the leader, takes a summary and answers with the plan; also says whether an epoch
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -65,6 +65,7 @@
     /// Jobs that fail wherever it tries them.
     pub failing: Vec<u64>,
     strays: Vec<crate::peer::Stray>,
+    reborn: Vec<MachineId>,
     machines: BTreeMap<MachineId, Known>,
 }
 
@@ -210,6 +211,7 @@
             at: now,
             failing: Vec::new(),
             strays: Vec::new(),
+            reborn: Vec::new(),
             machines: BTreeMap::new(),
         });
         let mut changed = state.strays.len() != s.strays.len() || !s.machines.is_empty();
@@ -226,6 +228,7 @@
         state.at = now;
         state.failing = s.failing;
         state.strays = s.strays;
+        state.reborn = s.reborn;
         for view in s.machines {
             let shun_until = now.plus(view.shun_ms);
             let heard = state.machines.get(&view.id).map_or(Steady(0), |k| k.heard);
@@ -399,11 +402,14 @@
             .filter(|(id, _)| live.contains(id))
             .flat_map(|(node, n)| n.strays.iter().map(move |s| (node, s)));
         let (mut some, mut long) = (0, false);
+        // They go back to the cloud; no owner would take them.
+        let reborn: Vec<&MachineId> = self.nodes.values().flat_map(|n| &n.reborn).collect();
         for (node, s) in all_strays {
             if s.since_ms > STRAY_MS
                 && s.silent_ms < pace.stray_ms
                 && self.owners.get(&s.id).is_some_and(|(o, _)| o != node)
                 && !self.owner_hears(now, &s.id, s.silent_ms)
+                && !reborn.contains(&&s.id)
             {
                 some += 1;
                 long |= s.since_ms > FEW_STRAYS_MS;
@@ -671,6 +677,7 @@
         let few = self.awaited
             && self.unsettled.len() <= (up / FEW_PART).max(FEW_LEAST)
             && now.since(self.began) > pace.gap_ms + FEW_WAIT_MS;
+        let reborn: HashSet<&MachineId> = self.nodes.values().flat_map(|n| &n.reborn).collect();
         let all_strays = self.nodes.values().flat_map(|n| &n.strays);
         let strays: HashSet<&MachineId> =
             all_strays.filter(|s| s.silent_ms < pace.stray_ms).map(|s| &s.id).collect();
@@ -685,6 +692,11 @@
         let over = |id: &MachineId, m: &FleetMachine| {
             let startup = ctx.flavors.get(&m.offer.hull).map_or(60.0, |f| f.startup_s);
             let silent = silent_ms(id);
+            // What ran before it was restarted is over, but nobody can tell its reports from
+            // late copies of earlier ones.
+            if reborn.contains(id) {
+                return true;
+            }
             if m.failed || (self.unsettled.contains(id) && (deaf || few && !strays.contains(id))) {
                 return true;
             }
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -23,7 +23,7 @@
 use crate::peer::{Grant, Plan, PlanBody, Standing, Summary, Tell, Waits};
 use crate::place::{self, Flavors, Need, Room};
 use crate::term::Attempts;
-use crate::wire::{self, Change, PieceStage, Shape, Txn, Urgency};
+use crate::wire::{self, Change, Guard, PieceStage, Shape, Txn, Urgency};
 
 /// How much less each further task of a job is worth than the one before.
 const FADE: f64 = 0.995;
@@ -936,7 +936,9 @@
             });
         }
         if !apply.is_empty() {
-            epoch.txn = Some(Txn { guards: ctx.ledger.lead_guard().into_iter().collect(), apply });
+            let mut guards: Vec<Guard> = ctx.ledger.lead_guard().into_iter().collect();
+            guards.extend(apply.iter().map(|c| ctx.ledger.unchanged(c.path())));
+            epoch.txn = Some(Txn { guards, apply });
         }
     }
 
@@ -1054,14 +1056,11 @@
                     machines.insert(id.clone(), record);
                 }
             }
+            // An empty group stays: the version of its key tells late writes from new ones.
             let path = ledger::machine_key(group);
-            if machines.is_empty() {
-                apply.push(Change::Drop { path });
-            } else {
-                let machines = machines.into_iter().collect();
-                let value = wire::to_value(&MachineGroup { machines });
-                apply.push(Change::Set { path, value, lease: None });
-            }
+            let machines = machines.into_iter().collect();
+            let value = wire::to_value(&MachineGroup { machines });
+            apply.push(Change::Set { path, value, lease: None });
         }
     }
 
@@ -1441,6 +1440,7 @@
             machines,
             strays: vec![],
             failing: vec![],
+            reborn: vec![],
             finished: vec![],
         };
         core.take_summary(Steady(ms), summary);
@@ -1480,6 +1480,7 @@
             machines: vec![view("n-1", true, &[])],
             strays: vec![],
             failing: vec![],
+            reborn: vec![],
             finished: vec![],
         }
     }
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -496,6 +496,20 @@
         Some(Guard { path: LEAD_KEY.into(), stamp: *stamp })
     }
 
+    /// The condition that a key which the leader writes is as it is known here: so a transaction
+    /// that is carried out late, or once more, never puts an older value back.
+    pub fn unchanged(&self, path: &str) -> Guard {
+        let number = |kind: &str| path.strip_prefix(kind).and_then(|n| n.parse::<u32>().ok());
+        let stamp = match path {
+            LOAD_KEY => self.load.as_ref().map(|l| l.1),
+            FLAVORS_KEY => self.flavors.as_ref().map(|f| f.1),
+            _ => number("m/")
+                .and_then(|n| self.groups.get(&n).map(|g| g.1))
+                .or_else(|| number("e/").and_then(|n| self.epochs.get(&n).map(|e| e.1))),
+        };
+        Guard { path: path.into(), stamp: stamp.unwrap_or_default() }
+    }
+
     /// Tasks that any earlier epoch granted and that are not done: they may be running.
     pub fn granted_before(&self) -> FxHashSet<TaskId> {
         let mut tasks = FxHashSet::default();
--- a/src/part.rs
+++ b/src/part.rs
@@ -4,7 +4,7 @@
 //! only in the response to a report, so the next report either shows the task or proves that
 //! the response was lost. Everything a part knows about a machine comes from its newest report.
 
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
 use rustc_hash::FxHashSet;
@@ -42,6 +42,8 @@
 /// doubles for the next.
 const ANNOUNCEMENTS: u32 = 4;
 const ANNOUNCE_AGAIN_MS: u64 = 1_500;
+/// Least time between two questions to a machine of which old reports come.
+const DOUBT_AGAIN_MS: u64 = 10_000;
 
 /// Completed tasks of a job that are not known to be on record yet.
 #[derive(Clone, Debug, Default)]
@@ -247,15 +249,20 @@
     endpoint: Rc<str>,
 }
 
-/// A machine that is to be told of the term straight away.
+/// A machine that is to be asked or told something straight away.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Announcement {
+    /// The machine.
+    pub machine: MachineId,
     /// Where its worker listens.
     pub endpoint: Rc<str>,
     /// The term.
     pub term: Term,
     /// Its session, as far as known.
     pub session: Session,
+    /// The newest report known when this goes out, if an older one came since: a worker that
+    /// answers with nothing newer counts from the start again.
+    pub doubted: Option<(Session, u64)>,
 }
 
 /// Errors of a job's tasks, to tell a faulty job from a faulty machine.
@@ -306,6 +313,11 @@
     announced: HashMap<MachineId, (u32, Steady)>,
     /// Whether there may be machines that have to be.
     announcing: bool,
+    /// Machines of which an old report came: when they were asked, and whom to ask still.
+    doubted: HashMap<MachineId, Steady>,
+    doubts: Vec<(MachineId, Session)>,
+    /// Machines that were restarted and count from the start again.
+    reborn: BTreeSet<MachineId>,
     unheeded: HashMap<MachineId, Unheeded>,
     answered: BTreeMap<MachineId, Steady>,
     redirected: HashMap<MachineId, Redirected>,
@@ -351,6 +363,9 @@
             latest: HashMap::new(),
             announced: HashMap::new(),
             announcing: false,
+            doubted: HashMap::new(),
+            doubts: Vec::new(),
+            reborn: BTreeSet::new(),
             unheeded: HashMap::new(),
             answered: BTreeMap::new(),
             redirected: HashMap::new(),
@@ -437,6 +452,7 @@
         // or is gone with the machine.
         self.machines.retain(|id, _| owners.get(id) == Some(&me));
         self.strays.retain(|id, _| owners.get(id) != Some(&me));
+        self.reborn.retain(|id| owners.contains_key(id));
         for (id, session) in &body.lapsed {
             if let Some(m) = self.machines.get_mut(id).filter(|m| m.session <= *session) {
                 m.tasks.clear();
@@ -477,6 +493,7 @@
         // A late copy tells of a past that newer reports have overtaken. It settles nothing,
         // and its answer would reach nobody.
         if !self.is_newest(report) {
+            self.doubt(env.now, report);
             return ReportAnswer::Refuse;
         }
         if !self.heeds(env, report) {
@@ -523,15 +540,39 @@
         true
     }
 
-    /// Machines of this part that have not shown the term's token and are to be told of it
-    /// straight away, up to `most`: nothing starts on them before they show it, and tasks of
-    /// earlier terms wait for the proof.
+    /// An old report is a late copy, or its machine was restarted and counts from the start again.
+    /// Only the machine itself can tell.
+    fn doubt(&mut self, now: Steady, report: &Report) {
+        let id = &report.host;
+        if self.reborn.contains(id)
+            || self.doubted.get(id).is_some_and(|at| now.since(*at) < DOUBT_AGAIN_MS)
+        {
+            return;
+        }
+        if self.doubted.len() >= LATEST_KEPT {
+            self.doubted.retain(|_, at| now.since(*at) < DOUBT_AGAIN_MS);
+        }
+        self.doubted.insert(id.clone(), now);
+        self.doubts.push((id.clone(), report.tenure));
+    }
+
+    /// Machines that are to be asked or told something straight away, up to `most`: those that may
+    /// have been restarted, and those of this part that have not shown the term's token, as
+    /// nothing starts on them before, and tasks of earlier terms wait for the proof.
     pub fn to_announce(&mut self, now: Steady, ledger: &Ledger, most: usize) -> Vec<Announcement> {
+        let mut out = Vec::new();
+        while out.len() < most
+            && let Some((machine, session)) = self.doubts.pop()
+        {
+            if let Some(newest) = self.latest.get(&machine) {
+                let (endpoint, doubted) = (newest.endpoint.clone(), Some(newest.order));
+                out.push(Announcement { machine, endpoint, term: self.term, session, doubted });
+            }
+        }
         if !self.announcing || self.seq == PlanSeq(0) {
-            return Vec::new();
+            return out;
         }
         let mut open = false;
-        let mut out = Vec::new();
         for (id, _) in self.owners.iter().filter(|(_, owner)| **owner == self.me) {
             if self.machines.get(id).is_some_and(|m| m.settled) {
                 continue;
@@ -548,19 +589,29 @@
             let due = tries == 0 || now.since(at) >= ANNOUNCE_AGAIN_MS << (tries - 1);
             if due && out.len() < most {
                 self.announced.insert(id.clone(), (tries + 1, now));
-                out.push(Announcement { endpoint, term: self.term, session });
+                let (machine, term) = (id.clone(), self.term);
+                out.push(Announcement { machine, endpoint, term, session, doubted: None });
             }
         }
         self.announcing = open;
         out
     }
 
-    /// Takes a machine's answer to the announcement of a term: it shows the token and the machine's
-    /// tasks as a report does. It counts only for a machine that has not settled: none of this
-    /// term's starts can be on its way to it then.
-    pub fn on_announced(&mut self, env: &Surroundings<'_>, report: &Report) {
-        self.note_finished(env.now, env.ledger, report);
+    /// Takes a machine's answer to an announcement: it shows the token and the machine's tasks as a
+    /// report does. It counts only for a machine that has not settled: none of this term's
+    /// starts can be on its way to it then.
+    pub fn on_announced(&mut self, env: &Surroundings<'_>, asked: &Announcement, report: &Report) {
         let id = &report.host;
+        if *id != asked.machine {
+            return;
+        }
+        self.note_finished(env.now, env.ledger, report);
+        if asked.doubted.is_some_and(|newest| (report.tenure, report.tally) <= newest) {
+            tracing::info!(machine = %id, "was restarted");
+            self.reborn.insert(id.clone());
+            self.news = true;
+            return;
+        }
         if env.ledger.machine_gone(id)
             || self.machines.get(id).is_some_and(|m| m.settled)
             || !self.is_newest(report)
@@ -959,6 +1010,7 @@
                 })
                 .collect(),
             finished: self.finished.iter().map(|(j, f)| (j.0, f.tasks.clone())).collect(),
+            reborn: self.reborn.iter().cloned().collect(),
             failing: self.faults.keys().filter(|j| self.failing(**j)).map(|j| j.0).collect(),
         }
     }
@@ -1110,10 +1162,17 @@
         for (ms, count) in times {
             assert_eq!(told(&mut core, ms), count, "{ms}");
         }
+        let asked = Announcement {
+            machine: MachineId::new("n-1"),
+            endpoint: "10.1.0.1:9000".into(),
+            term: TERM,
+            session: Session(1),
+            doubted: None,
+        };
         // (tenure, tally, token, whether it is settled then); the session was not known at first.
         for (tenure, tally, baton, settled) in [(2, 6, 2, false), (2, 6, 3, false), (2, 7, 3, true)]
         {
-            core.on_announced(Steady(6_000), &report(tenure, tally, baton, Some(Running)));
+            core.on_announced(Steady(6_000), &asked, &report(tenure, tally, baton, Some(Running)));
             let now = core.summary(Steady(6_000));
             let is = now.machines.iter().any(|m| m.settled && m.tasks.len() == 1);
             assert_eq!(is, settled, "{tenure} {tally} {baton}");
@@ -1123,10 +1182,31 @@
         }
         assert_eq!(told(&mut core, 9_000), 0);
         // A later answer may be older than a start on its way: it changes nothing any more.
-        core.on_announced(Steady(6_500), &report(2, 8, 3, None));
+        core.on_announced(Steady(6_500), &asked, &report(2, 8, 3, None));
         assert!(core.summary(Steady(6_500)).machines.iter().all(|m| m.tasks.len() == 1));
     }
 
+    #[test]
+    fn a_machine_that_counts_from_the_start_again_is_told_from_late_copies() {
+        // Seen on a simulated day: its owner refused it as a late copy, another controller kept it
+        // alive as one that cannot reach its owner, and a new term came every 15 s.
+        use PieceStage::Running;
+        // (order of its answer to the question, whether it was restarted)
+        for (tenure, tally, restarted) in [(2, 10, false), (3, 1, false), (1, 4, true)] {
+            let mut core = node(0);
+            hear(&mut core, 1_000, &report(2, 9, 3, Some(Running)));
+            assert!(core.to_announce(Steady(1_000), 8).is_empty());
+            assert!(!hear(&mut core, 1_100, &report(1, 3, 0, None)).0);
+            let asked = core.to_announce(Steady(1_100), 8);
+            assert_eq!(asked.len(), 1);
+            hear(&mut core, 1_200, &report(1, 2, 0, None));
+            assert!(core.to_announce(Steady(1_200), 8).is_empty(), "it is asked once in a while");
+            core.on_announced(Steady(1_300), &asked[0], &report(tenure, tally, 3, None));
+            let told = core.summary(Steady(1_300)).reborn;
+            assert_eq!(!told.is_empty(), restarted, "{tenure} {tally}");
+        }
+    }
+
     #[test]
     fn late_copies_change_nothing_but_what_they_completed() {
         use PieceStage::{Ended, Running};
--- a/src/service.rs
+++ b/src/service.rs
@@ -488,7 +488,7 @@
         if let Ok(report) = wire::decode::<wire::Report>(&answer.body) {
             let mut core = self.core.borrow_mut();
             let now = self.now();
-            self.meter.time(Work::Report, || core.on_announced(now, &report));
+            self.meter.time(Work::Report, || core.on_announced(now, a, &report));
             if core.part.news {
                 self.wake_part.notify_one();
             }
@@ -800,8 +800,9 @@
             core.ledger.lead_guard().filter(|_| leading && core.ledger.flavors.is_none())
         };
         if let Some(guard) = guard {
+            let unchanged = self.core.borrow().ledger.unchanged(ledger::FLAVORS_KEY);
             let txn = Txn {
-                guards: vec![guard],
+                guards: vec![guard, unchanged],
                 apply: vec![Change::Set {
                     path: ledger::FLAVORS_KEY.into(),
                     value: wire::to_value(&got),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -544,6 +544,15 @@
     },
 }
 
+impl Change {
+    /// The key that it changes.
+    pub fn path(&self) -> &str {
+        match self {
+            Change::Set { path, .. } | Change::Drop { path } => path,
+        }
+    }
+}
+
 /// A transaction.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "PascalCase")]
@@ -558,9 +567,7 @@
     /// Leaves out the changes of these keys, with their conditions.
     pub fn leave_out(&mut self, keys: &[String]) {
         self.guards.retain(|g| !keys.contains(&g.path));
-        self.apply.retain(|c| match c {
-            Change::Set { path, .. } | Change::Drop { path } => !keys.contains(path),
-        });
+        self.apply.retain(|c| !keys.iter().any(|k| k == c.path()));
     }
 }
 
--- a/tests/sim/main.rs
+++ b/tests/sim/main.rs
@@ -7,7 +7,7 @@
 mod world;
 
 use check::{Checker, Event};
-use world::{Fault, World};
+use world::{BRISK, Fault, Rhythm, SLOW, World};
 
 use Fault::{
     Alone, Blink, BlinkAll, CancelAt, CrashAll, CrashLeader, CutNode, CutWorker, CutZones, Deaf,
@@ -15,13 +15,14 @@
     WorkerDies,
 };
 
-/// Plays a day of 200 s and expects that no rule breaks and that all that was asked for ends.
-fn play(name: &str, seed: u64, faults: &[(u64, Fault)]) {
-    let mut world = World::new(seed);
-    world.run(faults, 200_000);
-    assert!(world.checker.broken.is_empty(), "{name} {seed}: {:?}", world.checker.broken);
+/// Plays a day of 20 leases and expects that no rule breaks and that all that was asked for ends.
+fn play(name: &str, seed: u64, rhythm: Rhythm, faults: &[(u64, Fault)]) {
+    let mut world = World::new(seed, rhythm);
+    world.run(faults, rhythm.lease_ms * 20);
+    let name = format!("{name} {seed} {rhythm:?}");
+    assert!(world.checker.broken.is_empty(), "{name}: {:?}", world.checker.broken);
     let open = world.unfinished();
-    assert!(open.is_empty(), "{name} {seed}: not finished: {open:?}");
+    assert!(open.is_empty(), "{name}: not finished: {open:?}");
 }
 
 #[test]
@@ -104,7 +105,8 @@
     ];
     for (name, faults) in cases {
         for seed in 1..=3 {
-            play(name, seed, &faults);
+            play(name, seed, BRISK, &faults);
+            play(name, seed, SLOW, &faults);
         }
     }
 }
@@ -119,9 +121,13 @@
 
 #[test]
 fn rules_hold_through_random_failures() {
-    for seed in 100..124 {
-        let faults = world::random_faults(seed);
-        play(&format!("random {faults:?}"), seed, &faults);
+    // The last ones were found among many: a write that was repeated late put older machines and
+    // grants back, and a restarted machine brought a new term every 15 s.
+    for seed in (100..140).chain([1144, 1768, 12_606, 14_641]) {
+        for rhythm in [BRISK, SLOW] {
+            let faults = world::random_faults(seed, rhythm);
+            play(&format!("random {faults:?}"), seed, rhythm, &faults);
+        }
     }
 }
 
--- a/tests/sim/worker.rs
+++ b/tests/sim/worker.rs
@@ -5,6 +5,8 @@
 use willowshore::model::{Attempt, MachineId, Session, TaskId, Term};
 use willowshore::wire::{Cause, Order, Piece, PieceStage, Report, ReportReply};
 
+use crate::world::Rhythm;
+
 pub const FETCH_MS: u64 = 700;
 const TIMEOUT_MS: u64 = 4_000;
 
@@ -38,7 +40,7 @@
 }
 
 impl Worker {
-    pub fn new(id: usize, zone: &'static str, now: u64, rhythm: u64, lease: u64) -> Self {
+    pub fn new(id: usize, zone: &'static str, now: u64, rhythm: Rhythm) -> Self {
         Worker {
             id,
             zone,
@@ -52,8 +54,8 @@
             answered: now,
             next: now + 100 * id as u64,
             in_flight: None,
-            rhythm,
-            lease,
+            rhythm: rhythm.report_ms,
+            lease: rhythm.lease_ms,
         }
     }
 
@@ -96,15 +98,19 @@
     /// Runs tasks and keeps the lease.
     pub fn tick(&mut self, now: u64, run_ms: impl Fn(TaskId) -> u64) -> Vec<Change> {
         let mut out = Vec::new();
-        if !self.active(now) {
+        if self.gone {
             return out;
         }
-        if now - self.answered > self.lease {
+        // A hanging machine goes on with its tasks within its lease or not at all.
+        if now.saturating_sub(self.answered) > self.lease {
             out.extend(self.leave(|_| true));
             self.session += 1;
             self.answered = now;
             self.in_flight = None;
         }
+        if !self.active(now) {
+            return out;
+        }
         let mut changed = false;
         for ((task, _), t) in &mut self.tasks {
             if t.until > now {
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -5,6 +5,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use willowshore::capacity::Offer;
 use willowshore::config::Settings;
 use willowshore::core::{Core, Moment, accept_txn};
 use willowshore::model::{Incarnation, JobId, NodeId, Steady, TaskId, Wall};
@@ -20,12 +21,39 @@
 
 const STEP: u64 = 20;
 const BACK_MS: u64 = 3_000;
-const CANCEL_MS: u64 = 30_000;
+/// How long a replaced machine boots.
+const BOOT_MS: u64 = 12_000;
 const TEAM_LIMIT: u64 = 32;
 const ZONES: [&str; 2] = ["a", "b"];
 
 const SETTINGS: &str = include_str!("../settings.toml");
 
+/// How often workers report, their lease, and the time that a cancellation has.
+#[derive(Clone, Copy, Debug)]
+pub struct Rhythm {
+    pub report_ms: u64,
+    pub lease_ms: u64,
+    pub cancel_ms: u64,
+}
+
+/// Frequent reports and short leases, as small deployments have them.
+pub const BRISK: Rhythm = Rhythm { report_ms: 1_000, lease_ms: 10_000, cancel_ms: 30_000 };
+/// Rare reports and long leases, as large ones have them.
+pub const SLOW: Rhythm = Rhythm { report_ms: 5_000, lease_ms: 26_500, cancel_ms: 46_500 };
+
+impl Rhythm {
+    /// The settings with these times.
+    fn settings(self) -> String {
+        let set = |text: String, field: &str, old: &str, ms: u64| {
+            let new = format!("{field} = {:.3}", ms as f64 / 1000.0);
+            text.replacen(&format!("{field} = {old}"), &new, 1)
+        };
+        let text = set(SETTINGS.to_string(), "report_s", "1.0", self.report_ms);
+        let text = set(text, "lease_s", "10.0", self.lease_ms);
+        set(text, "cancel_s", "30.0", self.cancel_ms)
+    }
+}
+
 /// A failure, for so many milliseconds where it lasts.
 #[derive(Clone, Copy, Debug)]
 pub enum Fault {
@@ -94,7 +122,7 @@
     /// A node announces its term to a worker; when it was sent.
     Announce(usize, usize, Announcement, u64),
     /// The worker's answer to that.
-    Announced(usize, Report, u64),
+    Announced(usize, Announcement, Report, u64),
     Summary(usize, usize, Box<Summary>),
     Tell(usize, Tell),
 }
@@ -108,6 +136,7 @@
 
 pub struct World {
     now: u64,
+    rhythm: Rhythm,
     rng: SmallRng,
     pub checker: Checker,
     store: Store,
@@ -189,18 +218,18 @@
             | Fault::Deaf(_, ms)
             | Fault::Alone(ms)
             | Fault::PeersRefuse(ms) => ms,
-            Fault::LateCopies(ms) => ms + 25_000,
+            Fault::LateCopies(ms) => ms + 70_000,
             _ => 0,
         }
     }
 }
 
 /// A few failures at random times, some of them at once.
-pub fn random_faults(seed: u64) -> Vec<(u64, Fault)> {
+pub fn random_faults(seed: u64, rhythm: Rhythm) -> Vec<(u64, Fault)> {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut faults: Vec<(u64, Fault)> = (0..5)
         .map(|_| {
-            let ms = rng.random_range(4_000..25_000);
+            let ms = rng.random_range(4_000..25_000) * rhythm.lease_ms / 10_000;
             let hold = rng.random_bool(0.5);
             let worker = rng.random_range(0..4);
             let fault = match rng.random_range(0..19) {
@@ -232,12 +261,13 @@
 }
 
 impl World {
-    pub fn new(seed: u64) -> Self {
-        let workers = (0..8).map(|i| Worker::new(i, ZONES[i % 2], 0, 1_000, 10_000)).collect();
+    pub fn new(seed: u64, rhythm: Rhythm) -> Self {
+        let workers = (0..8).map(|i| Worker::new(i, ZONES[i % 2], 0, rhythm)).collect();
         World {
             now: 0,
             rng: SmallRng::seed_from_u64(seed),
-            checker: Checker::new(CANCEL_MS, TEAM_LIMIT),
+            rhythm,
+            checker: Checker::new(rhythm.cancel_ms, TEAM_LIMIT),
             store: Store::default(),
             nodes: (0..3).map(|_| Err(0)).collect(),
             workers,
@@ -263,7 +293,7 @@
     /// A world in which more urgent work comes all the time than there is room for, beside one
     /// large job of lower rank.
     pub fn crowded(seed: u64) -> Self {
-        let mut world = World::new(seed);
+        let mut world = World::new(seed, BRISK);
         world.every = 1_500;
         world.jobs = (2..220)
             .map(|id| {
@@ -444,7 +474,8 @@
             self.see(w, changes);
             if let Some((node, report)) = self.workers[w].report(now) {
                 if now < self.copies_until && self.rng.random_bool(0.5) {
-                    let late = now + self.rng.random_range(1_000..25_000);
+                    let most = self.rhythm.lease_ms * 5 / 2;
+                    let late = now + self.rng.random_range(1_000..most);
                     self.sent += 1;
                     let copy = Message::Copy(node, report.clone());
                     self.messages.insert((late, self.sent), copy);
@@ -504,17 +535,17 @@
                     return;
                 }
                 let report = worker.direct(now, announced.term.0, announced.session.0);
-                let message = Message::Announced(n, report, sent);
+                let message = Message::Announced(n, announced, report, sent);
                 self.send(Place::Worker(w), Place::Node(n), message);
             }
-            Message::Announced(n, report, sent) => {
+            Message::Announced(n, asked, report, sent) => {
                 // Nobody waits for it any more after a second.
                 if let Ok(node) = &mut self.nodes[n]
                     && now - sent < 1_000
                     && sent >= node.started
                 {
                     let steady = node.moment(now).steady;
-                    node.core.on_announced(steady, &report);
+                    node.core.on_announced(steady, &asked, &report);
                 }
             }
             Message::Reply(w, ..) if self.deaf.iter().any(|d| d.0 == w && now < d.1) => {}
@@ -545,7 +576,7 @@
                 return;
             }
             self.lives += 1;
-            let mut text = SETTINGS.to_string();
+            let mut text = self.rhythm.settings();
             if n > 0 {
                 // Each node sees itself first; the addresses do not matter here.
                 let (me, site) = (format!("host-{n}"), ZONES[n % 2]);
@@ -772,14 +803,22 @@
             }
         }
         // What was returned is replaced, so that the day can end.
+        let mut rented = Vec::new();
         for _ in &gone {
             let id = self.workers.len();
-            self.workers.push(Worker::new(id, ZONES[id % 2], now, 1_000, 10_000));
+            let mut worker = Worker::new(id, ZONES[id % 2], now + BOOT_MS, self.rhythm);
+            worker.hung_until = now + BOOT_MS;
+            rented.push((worker.name(), worker.zone));
+            self.workers.push(worker);
         }
         if let Ok(node) = &mut self.nodes[n]
             && let Some(lead) = &mut node.core.lead
         {
             lead.machines_gone(&gone);
+            for (id, zone) in rented {
+                let offer = Offer { hull: "small".into(), zone: zone.into(), spot: false };
+                lead.fleet.rented(moment.steady, &[id], &offer);
+            }
         }
     }
 
