Silence counts across terms, and machines that the cloud's list lost go back

Change: no machine counts as heard that nobody answered. A node's first summary of a term tells of every answer it remembers (three leases, 120 s at least), so what is older than that and than the node's start is proven; and a machine that was listed once and is missing in a list read twice the lag and 2 s later is returned once it misses a report. Ruled out: a shorter wait than a lease after a crash, as the predecessor of the crashed node may have answered anyone. Table tests of both.

--- a/src/config.rs
+++ b/src/config.rs
@@ -338,6 +338,9 @@
     /// A machine that was well and has not reported for that long has stopped, if its owner
     /// hears others.
     pub quick_ms: u64,
+    /// How long a controller remembers which machines it answered: whoever asks it learns of every
+    /// answer whose lease may still run.
+    pub answers_ms: u64,
 }
 
 impl Pace {
@@ -353,6 +356,7 @@
             unused_ms: (gap_ms + 2_500).max(4_500),
             stray_ms: (gap_ms + 1_000).max(3_000),
             quick_ms: (report_ms * 4).clamp(5_000, lease_ms.max(5_000)),
+            answers_ms: (lease_ms * 3).max(120_000),
         }
     }
 
@@ -384,6 +388,7 @@
             let got = (p.silent_ms, p.unused_ms, p.stray_ms, p.quick_ms);
             assert_eq!(got, (silent, unused, stray, quick), "{report_s} {lease_s}");
             assert!(p.gap_ms + 1_000 <= p.stray_ms && p.gap_ms < p.silent_ms);
+            assert!(p.answers_ms as f64 >= 2_000.0 * lease_s);
         }
     }
 
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -13,7 +13,7 @@
 use crate::peer::{MachineView, OwnerNews, Summary};
 use crate::place::Room;
 use crate::term::{last_right, plus_drift};
-use crate::wire::{self, PieceStage};
+use crate::wire::{self, HostList, PieceStage};
 
 /// A controller that has not been heard for that long is taken as lost.
 pub const NODE_LOST_MS: u64 = 3_000;
@@ -41,6 +41,10 @@
 const FEW_PART: usize = 50;
 const FEW_LEAST: usize = 2;
 const FEW_WAIT_MS: u64 = 6_000;
+/// Silence beyond a lease after which a machine is returned though the term is young.
+const LONG_SILENT_MS: u64 = 3_000;
+/// What is added to twice the lag of the cloud's list before a machine counts as missing in it.
+const LIST_MARGIN_MS: u64 = 2_000;
 /// Removed machines of which parts are told, before they are told all owners anew.
 const GONE_TOLD: usize = 400;
 
@@ -62,6 +66,8 @@
     pub heard_ms: u64,
     /// When that was heard.
     pub at: Steady,
+    /// When its first summary of this term was, which told of all answers that it remembered.
+    first: Steady,
     /// Jobs that fail wherever it tries them.
     pub failing: Vec<u64>,
     strays: Vec<crate::peer::Stray>,
@@ -98,6 +104,10 @@
     lost_session: Option<Steady>,
     /// It lost its session twice in a short time.
     pub losing: bool,
+    /// When the cloud first listed it.
+    listed: Option<Steady>,
+    /// A later list does not have it any more.
+    pub missing: bool,
 }
 
 /// A task that is on a machine.
@@ -183,10 +193,6 @@
             .iter()
             .filter(|(id, m)| m.up && m.gone.is_none() && !fleet.gone.contains(*id));
         fleet.unsettled = may_hold.map(|(id, _)| id.clone()).collect();
-        // Machines count as heard now: a verdict of silence needs a whole lease from here.
-        for id in &fleet.unsettled {
-            fleet.heard.insert(id.clone(), ctx.now);
-        }
         fleet
     }
 
@@ -209,6 +215,7 @@
             served_ms: 0,
             heard_ms: 0,
             at: now,
+            first: now,
             failing: Vec::new(),
             strays: Vec::new(),
             reborn: Vec::new(),
@@ -531,7 +538,6 @@
         if self.machines.contains_key(id) {
             return;
         }
-        self.heard.entry(id.clone()).or_insert(now);
         let machine = FleetMachine {
             offer,
             since: now,
@@ -543,6 +549,8 @@
             session: Session(0),
             lost_session: None,
             losing: false,
+            listed: None,
+            missing: false,
         };
         self.machines.insert(id.clone(), machine);
     }
@@ -558,7 +566,7 @@
 
     /// Takes what the cloud's list says of a machine. The list is old: it only adds machines
     /// and tells of failed ones.
-    pub fn listed(&mut self, ctx: &Context<'_>, host: &wire::ListedHost) {
+    fn listed(&mut self, ctx: &Context<'_>, host: &wire::ListedHost) {
         if self.is_gone(ctx, &host.r#ref) {
             return;
         }
@@ -567,10 +575,28 @@
         self.note_machine(ctx.now, &host.r#ref, offer);
         if let Some(m) = self.machines.get_mut(&host.r#ref) {
             m.since = m.since.min(ctx.now.less(age));
+            m.listed.get_or_insert(ctx.now);
+            m.missing = false;
             m.failed |= host.stage == wire::HostStage::Failed;
         }
     }
 
+    /// Takes a page of the cloud's list as a whole: the machines after `after`, up to its last one
+    /// unless it is the last page. A machine that was listed once stays listed until it is gone, but
+    /// a list may be older than the one before, by twice the lag at most. That is no
+    /// proof, only a reason to return it.
+    pub fn listed_page(&mut self, ctx: &Context<'_>, after: Option<&MachineId>, page: &HostList) {
+        page.hosts.iter().for_each(|host| self.listed(ctx, host));
+        let names: HashSet<&MachineId> = page.hosts.iter().map(|h| &h.r#ref).collect();
+        let last = page.hosts.last().map(|h| &h.r#ref).filter(|_| page.truncated);
+        let sure_ms = (ctx.settings.params.cloud.list_lag_s * 2_000.0) as u64 + LIST_MARGIN_MS;
+        for (id, m) in &mut self.machines {
+            let covered = after.is_none_or(|a| id > a) && last.is_none_or(|l| id <= l);
+            let known = m.listed.is_some_and(|at| ctx.now.since(at) > sure_ms);
+            m.missing |= covered && known && !names.contains(id);
+        }
+    }
+
     /// The cloud confirmed that these machines and all on them are gone; `next` is the plan
     /// that will say so.
     pub fn machines_gone(&mut self, ids: &[MachineId], next: PlanSeq) {
@@ -617,14 +643,16 @@
     pub fn silent_verdicts(&mut self, ctx: &Context<'_>) {
         let lease = plus_drift(ctx.settings.worker_lease_ms()) + 500;
         let mut told_until = Steady(u64::MAX);
+        // Nobody tells of answers before that moment; each could be one to any machine.
         let mut last_other = Steady(0);
+        let kept = ctx.settings.pace().answers_ms;
         for n in 0..ctx.nodes.len() {
             let id = NodeId(n as u8);
             match self.nodes.get(&id) {
                 Some(n) if n.echo_ms > 0 => {
                     told_until = told_until.min(Steady(n.echo_ms));
                     // Its predecessor ended before this process started.
-                    last_other = last_other.max(n.at.less(n.up_ms));
+                    last_other = last_other.max(n.at.less(n.up_ms)).max(n.first.less(kept));
                 }
                 _ => match self.absent.get(&id) {
                     Some((_, since)) => {
@@ -637,7 +665,7 @@
             }
         }
         let over = |id: &MachineId| {
-            let last = self.heard.get(id).copied().unwrap_or(self.began).max(last_other);
+            let last = self.heard.get(id).copied().unwrap_or_default().max(last_other);
             last.plus(lease) < told_until
         };
         let lapsed: Vec<(MachineId, Session)> = self
@@ -694,7 +722,7 @@
             let silent = silent_ms(id);
             // What ran before it was restarted is over, but nobody can tell its reports from
             // late copies of earlier ones.
-            if reborn.contains(id) {
+            if reborn.contains(id) || (m.missing && silent > pace.gap_ms) {
                 return true;
             }
             if m.failed || (self.unsettled.contains(id) && (deaf || few && !strays.contains(id))) {
@@ -711,7 +739,8 @@
                         (false, true) => quick,
                         (false, false) => lease,
                     };
-                    drained || (calm && (silent > limit || m.losing))
+                    let long = silent > lease + LONG_SILENT_MS && now.since(self.began) > HEARS_MS;
+                    drained || (calm && m.losing) || ((calm || long) && silent > limit)
                 }
                 None => {
                     let never = (startup * 4_000.0).max(90_000.0) as u64;
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -1563,6 +1563,85 @@
         assert_eq!(returned(&mut core, 12_500), [MachineId::new("n-1")]);
     }
 
+    #[test]
+    fn silence_from_before_the_term_counts_once_every_node_has_told() {
+        // Seen on a bench day: machines that had been dead for a lease counted as possibly alive for
+        // another one in every new term. (what, milliseconds for which a node has been up, when it
+        // last answered n-1, whether all is proven over right after the term began)
+        let cases = [
+            ("nobody answered it within memory", 200_000, None, true),
+            ("it was answered longer than a lease ago", 200_000, Some(11_000), true),
+            ("its lease may still run", 200_000, Some(9_000), false),
+            ("a predecessor may have answered it", 9_000, None, false),
+            ("no predecessor's answer is that young", 12_000, None, true),
+        ];
+        for (what, up_ms, answered, over) in cases {
+            let mut core = leader();
+            let now = Steady(300_000);
+            core.rights.confirm_renewal(now);
+            core.rights.confirm_sync(now);
+            for node in 0..3 {
+                let age = answered.filter(|_| node == 1).map(|ms| (MachineId::new("n-1"), ms));
+                let told = Summary {
+                    node: NodeId(node),
+                    echo_ms: now.0,
+                    up_ms: if node == 2 { up_ms } else { 200_000 },
+                    answered: age.into_iter().collect(),
+                    machines: vec![],
+                    ..summary(1, 0, LIFE)
+                };
+                core.take_summary(now, told);
+                let lead = core.lead.as_ref().unwrap();
+                assert_eq!(lead.fleet.unsettled.len(), 2, "{what}: not before all have told");
+            }
+            core.epoch(at(now.0)).unwrap();
+            let left = &core.lead.as_ref().unwrap().fleet.unsettled;
+            assert_eq!(left.contains(&MachineId::new("n-1")), !over, "{what}");
+        }
+    }
+
+    #[test]
+    fn a_machine_that_later_lists_lack_is_returned_once_it_is_silent() {
+        let host = |id: &str| wire::ListedHost {
+            r#ref: MachineId::new(id),
+            endpoint: None,
+            hull: "small".into(),
+            yard: "a".into(),
+            loaners: false,
+            stage: wire::HostStage::Running,
+            held_s: 50.0,
+        };
+        // The list lags by 6 s. (when the second list came, its first name, whether it is cut off
+        // after n-1, when the answer is wanted, whether n-2 is returned then)
+        let cases = [
+            (9_000, None, false, 9_100, false),
+            (15_000, None, false, 15_100, true),
+            (15_000, None, true, 15_100, false),
+            (15_000, Some("n-2"), false, 15_100, false),
+        ];
+        for (second, after, truncated, when, returned) in cases {
+            let mut core = leader();
+            let list = |core: &mut Core, ms, names: &[&str], after: Option<&str>, truncated| {
+                let page =
+                    wire::HostList { hosts: names.iter().map(|n| host(n)).collect(), truncated };
+                let after = after.map(MachineId::new);
+                core.with_lead(at(ms), |l, ctx| l.fleet.listed_page(ctx, after.as_ref(), &page));
+            };
+            core.rights.confirm_renewal(Steady(1_000));
+            tell(&mut core, 1_000, 0, vec![view("n-1", true, &[])]);
+            list(&mut core, 500, &["n-1", "n-2"], None, false);
+            list(&mut core, second, &["n-1"], after, truncated);
+            core.rights.confirm_renewal(Steady(when));
+            core.lead.as_mut().unwrap().limbo.clear();
+            tell(&mut core, when, 0, vec![view("n-1", true, &[])]);
+            let gone = core.with_lead(at(when), |l, ctx| {
+                let n2 = MachineId::new("n-2");
+                l.fleet.machines[&n2].missing && l.fleet.to_return(ctx).contains(&n2)
+            });
+            assert_eq!(gone, Some(returned), "{second} {after:?} {truncated}");
+        }
+    }
+
     #[test]
     fn summaries_add_to_one_that_was_taken_or_are_asked_for_whole() {
         // What a missed summary told could be a task on a machine, or an answer to a worker.
--- a/src/part.rs
+++ b/src/part.rs
@@ -975,7 +975,7 @@
         self.strays.retain(|_, s| now.since(s.last) < kept_ms);
         self.redirected.retain(|_, r| now.since(r.at) < kept_ms);
         self.sent_away.retain(|_, at| now.since(*at) < SENT_AWAY_MS);
-        self.answered.retain(|_, at| now.since(*at) < 120_000);
+        self.answered.retain(|_, at| now.since(*at) < pace.answers_ms);
         self.sent.push_back((self.number, now));
         if self.sent.len() > 64 {
             self.sent.pop_front();
--- a/src/service.rs
+++ b/src/service.rs
@@ -887,12 +887,10 @@
             let Ok(page) = self.cloud.list(after.as_ref()).await else {
                 return;
             };
-            after = page.hosts.last().map(|h| h.r#ref.clone());
             self.core.borrow_mut().with_lead(self.moment(), |lead, ctx| {
-                for host in &page.hosts {
-                    lead.fleet.listed(ctx, host);
-                }
+                lead.fleet.listed_page(ctx, after.as_ref(), &page);
             });
+            after = page.hosts.last().map(|h| h.r#ref.clone());
             if !page.truncated || after.is_none() {
                 return;
             }
