lead and part are split by what each file owns; no change of behaviour

Tests, what goes on record, limits of teams, and a machine as its part remembers it have files of their own.

--- /dev/null
+++ b/src/part/machine.rs
@@ -0,0 +1,151 @@
+//! A machine as its part remembers it.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use super::Surroundings;
+use crate::config::Pace;
+use crate::model::{Attempt, MachineId, Session, Steady, TaskId};
+use crate::place::Room;
+use crate::wire::{JobSpec, PieceStage, Report};
+
+/// A task on a machine or on its way there.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Held {
+    pub(super) attempt: Attempt,
+    pub(super) stage: PieceStage,
+}
+
+/// A task that is to start on a machine with its next report.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Queued {
+    pub(super) task: TaskId,
+    pub(super) attempt: Option<Attempt>,
+}
+
+/// What is remembered of a machine.
+#[derive(Clone, Debug)]
+pub(super) struct Machine {
+    pub(super) hull: Rc<str>,
+    pub(super) zone: Rc<str>,
+    pub(super) spot: bool,
+    pub(super) endpoint: Rc<str>,
+    pub(super) session: Session,
+    pub(super) settled: bool,
+    pub(super) heard: Steady,
+    pub(super) warned: bool,
+    pub(super) tasks: BTreeMap<TaskId, Held>,
+    pub(super) images: Vec<(Rc<str>, f64)>,
+    pub(super) faults: u32,
+    pub(super) shun_until: Steady,
+    /// Starts in a row that the next report did not show.
+    pub(super) missed: u32,
+    pub(super) queue: Vec<Queued>,
+    /// The first summary that tells of it as it is now.
+    pub(super) changed: u64,
+}
+
+impl Machine {
+    pub(super) fn new(report: &Report, now: Steady) -> Self {
+        Machine {
+            hull: report.hull.as_str().into(),
+            zone: report.yard.as_str().into(),
+            spot: report.loaners,
+            endpoint: report.endpoint.as_str().into(),
+            session: report.tenure,
+            settled: false,
+            heard: now,
+            warned: false,
+            tasks: BTreeMap::new(),
+            images: Vec::new(),
+            faults: 0,
+            shun_until: Steady(0),
+            missed: 0,
+            queue: Vec::new(),
+            changed: 0,
+        }
+    }
+
+    pub(super) fn remember_image(&mut self, spec: &JobSpec) {
+        if self.images.last().is_some_and(|(name, _)| *name == spec.bundle) {
+            return;
+        }
+        self.images.retain(|(name, _)| *name != spec.bundle);
+        self.images.push((spec.bundle.clone(), spec.size_gb));
+    }
+
+    /// Forgets the images that no longer fit into the machine's cache.
+    pub(super) fn trim_images(&mut self, local_gb: f64) {
+        while self.images.len() > 1 && self.images.iter().map(|(_, gb)| gb).sum::<f64>() > local_gb
+        {
+            self.images.remove(0);
+        }
+    }
+
+    /// Whether it may be given tasks, as far as its own state tells. It must have shown this
+    /// term's token, so it hears; and if it did, it refuses older orders.
+    pub(super) fn usable(&self, now: Steady, pace: &Pace) -> bool {
+        self.settled
+            && !self.warned
+            && self.shun_until <= now
+            && now.since(self.heard) < pace.silent_ms
+    }
+
+    pub(super) fn room(&self, id: &MachineId, env: &Surroundings<'_>, open: bool) -> Option<Room> {
+        let tasks = self.tasks.iter().map(|(t, h)| (*t, h.stage));
+        let what = (id, &self.hull, &self.zone, self.spot);
+        Room::of(
+            what,
+            tasks,
+            &self.images,
+            env.flavors,
+            env.ledger,
+            open && self.usable(env.now, &env.pace),
+        )
+    }
+
+    /// Takes the tasks of a report; says whether anything changed, whether other tasks are on
+    /// the machine than before, and which are no longer.
+    pub(super) fn take_tasks(
+        &mut self,
+        env: &Surroundings<'_>,
+        report: &Report,
+    ) -> (bool, bool, Vec<TaskId>) {
+        let on = || report.pieces.iter().filter(|p| p.stage != PieceStage::Ended);
+        let same = on().count() == self.tasks.len()
+            && on().all(|p| {
+                self.tasks
+                    .get(&p.piece)
+                    .is_some_and(|h| *h == Held { attempt: p.r#try, stage: p.stage })
+            });
+        if same {
+            return (false, false, Vec::new());
+        }
+        // A start that this report does not show was in a response that the worker dropped:
+        // it has one report in flight at a time, so replacing the list forgets it rightly.
+        let ordered = |h: &Held| h.stage == PieceStage::Unknown;
+        let shown = |t: &TaskId, h: &Held| {
+            report.pieces.iter().any(|p| p.piece == *t && p.r#try == h.attempt)
+        };
+        if self.tasks.iter().any(|(t, h)| ordered(h) && shown(t, h)) {
+            self.missed = 0;
+        } else if self.tasks.values().any(ordered) {
+            self.missed += 1;
+            self.shun_until = self.shun_until.max(env.now.plus(1_000 << self.missed.min(5)));
+        }
+        let tasks: BTreeMap<TaskId, Held> =
+            on().map(|p| (p.piece, Held { attempt: p.r#try, stage: p.stage })).collect();
+        let others = !tasks.keys().eq(self.tasks.keys());
+        let left = self.tasks.keys().filter(|t| !tasks.contains_key(t)).copied().collect();
+        self.tasks = tasks;
+        for p in on() {
+            if let Some(job) = env.ledger.jobs.get(&p.piece.job) {
+                self.remember_image(&job.spec);
+            }
+        }
+        if let Some(f) = env.flavors.get(&*self.hull) {
+            self.trim_images(f.local_gb);
+        }
+        (true, others, left)
+    }
+}
--- /dev/null
+++ b/src/part/tests.rs
@@ -0,0 +1,275 @@
+//! Tables of cases for what a part answers and tells.
+
+use super::*;
+use crate::config::Settings;
+use crate::config::tests::EXAMPLE;
+use crate::core::{Core, Moment};
+use crate::ledger::tests::group;
+use crate::ledger::{self, Accepted, Brought, LeadRecord};
+use crate::model::{Revision, StoreLease, Wall};
+use crate::peer::OwnerNews;
+use crate::place::tests::flavor;
+use crate::wire::tests::spec;
+use crate::wire::{self, Item};
+
+const LIFE: Incarnation = Incarnation(5);
+const TERM: Term = Term(3);
+const TASK: TaskId = TaskId { job: JobId(1), index: 0 };
+
+/// A node in a term of another leader, which owns n-1 of two machines and may start a task.
+fn node(owner: u8) -> Core {
+    let mut core = Core::new(Rc::new(Settings::parse(EXAMPLE).unwrap()), LIFE);
+    core.set_flavors(&wire::Flavors { hulls: vec![flavor("small", 8.0, 64.0)] });
+    let lead = LeadRecord { node: NodeId(1), life: Incarnation(9), term: TERM };
+    let group = group(&["n-1"]);
+    let item = |path: &str, v| Item { path: path.into(), v, stamp: Revision(9) };
+    let accepted = Accepted { spec: spec(1, 2), at: Wall(1) };
+    core.load(
+        &[
+            item(&ledger::job_key(JobId(1)), wire::to_value(&accepted)),
+            item(ledger::LEAD_KEY, wire::to_value(&lead)),
+            item(ledger::TERM_KEY, wire::to_value(&ledger::TermRecord { term: TERM })),
+            item(&ledger::machine_key(0), wire::to_value(&group)),
+        ],
+        Revision(9),
+    );
+    core.rights.lease = Some(StoreLease(1));
+    let moment = Moment { steady: Steady(0), wall: Wall(0) };
+    core.follow(moment, &Brought { lead: true, ..Brought::default() });
+    let grant = Grant { job: 1, tasks: Ranges::span(0, 1), zone: None, attempt: None };
+    core.part.follow(Plan {
+        term: TERM,
+        life: LIFE,
+        seq: PlanSeq(1),
+        clock_ms: 1,
+        heard: 0,
+        owners: OwnerNews {
+            set: vec![(MachineId::new("n-1"), NodeId(owner))],
+            ..OwnerNews::default()
+        },
+        body: Some(PlanBody { grants: vec![grant], ..PlanBody::default() }),
+    });
+    core
+}
+
+fn report(tenure: u64, tally: u64, baton: u64, stage: Option<PieceStage>) -> Report {
+    let piece = |stage| Piece {
+        piece: TASK,
+        r#try: Attempt(7),
+        stage,
+        cause: (stage == PieceStage::Ended).then_some(Cause::Done),
+    };
+    Report {
+        host: MachineId::new("n-1"),
+        endpoint: "10.1.0.1:9000".into(),
+        hull: "small".into(),
+        yard: "a".into(),
+        loaners: false,
+        tenure: Session(tenure),
+        tally,
+        baton: Term(baton),
+        warning_s: None,
+        pieces: stage.map(piece).into_iter().collect(),
+    }
+}
+
+/// Has a report answered at that time; says whether with 200, and how many tasks it starts.
+fn hear(core: &mut Core, ms: u64, report: &Report) -> (bool, usize) {
+    core.rights.confirm_renewal(Steady(ms));
+    core.rights.confirm_sync(Steady(ms));
+    match core.on_report(Steady(ms), report) {
+        ReportAnswer::Take(reply) => {
+            let starts = |o: &&Order| matches!(o, Order::Start { .. });
+            (true, reply.orders.iter().filter(starts).count())
+        }
+        _ => (false, 0),
+    }
+}
+
+#[test]
+fn an_announced_term_settles_a_machine_once_and_its_lease_counts_from_there() {
+    use PieceStage::Running;
+    let mut core = node(0);
+    core.rights.confirm_renewal(Steady(1_000));
+    core.rights.confirm_sync(Steady(1_000));
+    // It reported before the term: told at once, then after growing pauses, then no more.
+    assert!(core.part.is_newest(&report(1, 5, 2, Some(Running))));
+    let told = |core: &mut Core, ms| core.to_announce(Steady(ms), 8).len();
+    let times = [(1_000, 1), (1_100, 0), (2_500, 1), (4_000, 0), (5_500, 1)];
+    for (ms, count) in times {
+        assert_eq!(told(&mut core, ms), count, "{ms}");
+    }
+    let asked = Announcement {
+        machine: MachineId::new("n-1"),
+        endpoint: "10.1.0.1:9000".into(),
+        term: TERM,
+        session: Session(1),
+        doubted: None,
+    };
+    // (tenure, tally, token, whether it is settled then); the session was not known at first.
+    for (tenure, tally, baton, settled) in [(2, 6, 2, false), (2, 6, 3, false), (2, 7, 3, true)] {
+        core.on_announced(Steady(6_000), &asked, &report(tenure, tally, baton, Some(Running)));
+        let now = core.summary(Steady(6_000), 900_000);
+        let is = now.machines.iter().any(|m| m.settled && m.tasks.len() == 1);
+        assert_eq!(is, settled, "{tenure} {tally} {baton}");
+        // Seen on a bench day: a machine whose session had begun just now counted as silent
+        // since it was rented, so what ran on it was started again.
+        assert_eq!(now.answered.len(), usize::from(settled), "{tenure} {tally} {baton}");
+    }
+    assert_eq!(told(&mut core, 9_000), 0);
+    // A later answer may be older than a start on its way: it changes nothing any more.
+    core.on_announced(Steady(6_500), &asked, &report(2, 8, 3, None));
+    assert!(core.summary(Steady(6_500), 900_000).machines.iter().all(|m| m.tasks.len() == 1));
+}
+
+#[test]
+fn a_machine_that_counts_from_the_start_again_is_told_from_late_copies() {
+    // Seen on a simulated day: its owner refused it as a late copy, another controller kept it
+    // alive as one that cannot reach its owner, and a new term came every 15 s.
+    use PieceStage::Running;
+    // (order of its answer to the question, whether it was restarted)
+    for (tenure, tally, restarted) in [(2, 10, false), (3, 1, false), (1, 4, true)] {
+        let mut core = node(0);
+        hear(&mut core, 1_000, &report(2, 9, 3, Some(Running)));
+        assert!(core.to_announce(Steady(1_000), 8).is_empty());
+        assert!(!hear(&mut core, 1_100, &report(1, 3, 0, None)).0);
+        let asked = core.to_announce(Steady(1_100), 8);
+        assert_eq!(asked.len(), 1);
+        hear(&mut core, 1_200, &report(1, 2, 0, None));
+        assert!(core.to_announce(Steady(1_200), 8).is_empty(), "it is asked once in a while");
+        core.on_announced(Steady(1_300), &asked[0], &report(tenure, tally, 3, None));
+        let told = core.summary(Steady(1_300), 900_000).reborn;
+        assert_eq!(!told.is_empty(), restarted, "{tenure} {tally}");
+    }
+}
+
+#[test]
+fn a_summary_that_does_not_fit_comes_in_pieces() {
+    let mut core = node(0);
+    let pace = core.settings.pace();
+    for n in 0..40 {
+        let mut machine = Machine::new(&report(1, 1, 3, None), Steady(0));
+        machine.changed = 1;
+        core.part.machines.insert(MachineId::new(&format!("n-{n:02}")), machine);
+    }
+    let mut told = BTreeSet::new();
+    let mut pieces = 0;
+    loop {
+        let piece = core.part.summary(Steady(1_000), &pace, 2_048);
+        assert!(crate::peer::encode(&piece).len() <= 2_048);
+        assert_eq!(piece.base == 0, pieces == 0);
+        told.extend(piece.machines.into_iter().map(|m| m.id));
+        pieces += 1;
+        core.part.told = Some((piece.number, Steady(1_000)));
+        if !piece.more {
+            break;
+        }
+    }
+    assert_eq!((told.len(), pieces), (40, 4));
+}
+
+#[test]
+fn late_copies_change_nothing_but_what_they_completed() {
+    use PieceStage::{Ended, Running};
+    let mut core = node(0);
+    assert!(hear(&mut core, 1_000, &report(2, 9, 3, Some(Running))).0);
+    let told = core.summary(Steady(2_000), 900_000);
+    let copies = [
+        report(2, 9, 3, Some(Running)),
+        report(2, 8, 3, None),
+        report(1, 99, 3, None),
+        report(2, 3, 2, Some(Ended)),
+    ];
+    for copy in &copies {
+        assert_eq!(hear(&mut core, 2_000, copy), (false, 0), "{copy:?}");
+    }
+    let now = core.summary(Steady(2_000), 900_000);
+    assert_eq!(now.machines, told.machines, "nothing freed, settled or revived");
+    assert_eq!(now.answered, told.answered, "its silence goes on");
+    assert_eq!(now.finished, [(1, Ranges::span(0, 1))], "a completed task stays completed");
+    assert!(hear(&mut core, 3_000, &report(2, 10, 3, Some(Running))).0);
+}
+
+#[test]
+fn a_machine_that_never_shows_the_token_gets_no_answer_for_a_lease() {
+    // Seen as a deaf machine: its reports kept it alive in the leader's eyes, so that
+    // every proof of where a task is waited for it. (ms, tenure, tally, baton, answered)
+    type Reports = &'static [(u64, u64, u64, u64, bool)];
+    let cases: [Reports; 3] = [
+        &[
+            (0, 1, 1, 2, true),
+            (1_500, 1, 2, 2, true),
+            (3_000, 1, 3, 2, true),
+            (4_500, 1, 4, 2, false),
+            (17_000, 2, 9, 2, false),
+            (19_000, 2, 10, 2, true),
+        ],
+        &[(0, 1, 1, 2, true), (9_000, 2, 2, 2, false), (10_000, 2, 3, 3, true)],
+        &[(0, 1, 1, 2, true), (500, 1, 2, 3, true), (9_000, 2, 3, 3, true)],
+    ];
+    for (n, case) in cases.iter().enumerate() {
+        let mut core = node(0);
+        for (ms, tenure, tally, baton, want) in *case {
+            let got = hear(&mut core, *ms, &report(*tenure, *tally, *baton, None)).0;
+            assert_eq!(got, *want, "{n}: {ms}");
+        }
+    }
+}
+
+#[test]
+fn starts_go_to_machines_that_hear_and_not_twice_to_one_that_misses_them() {
+    let mut core = node(0);
+    assert_eq!(hear(&mut core, 0, &report(1, 1, 2, None)), (true, 0), "token not shown");
+    assert_eq!(hear(&mut core, 500, &report(1, 2, 3, None)), (true, 1));
+    assert_eq!(hear(&mut core, 1_500, &report(1, 3, 3, None)), (true, 0), "not shown");
+    let view = core.summary(Steady(1_500), 900_000).machines.remove(0);
+    assert!(view.shun_ms > 0 && view.tasks.is_empty(), "{view:?}");
+    assert_eq!(hear(&mut core, 5_000, &report(1, 4, 3, None)), (true, 1), "tried again");
+    let shown = report(1, 5, 3, Some(PieceStage::Ended));
+    assert_eq!(hear(&mut core, 6_000, &shown), (true, 0), "it is done, though not on record");
+    let again = report(1, 6, 3, Some(PieceStage::Ended));
+    assert_eq!(hear(&mut core, 30_000, &again), (true, 0), "and stays so");
+}
+
+#[test]
+fn a_node_that_reaches_nobody_sends_its_workers_away_once() {
+    // With the store out and connections between controllers refused, all nodes are alone:
+    // then workers come back and must not lose their leases.
+    let mut core = node(0);
+    assert!(hear(&mut core, 1_000, &report(1, 1, 3, None)).0);
+    let mut answer = |ms, tally| core.on_report(Steady(ms), &report(1, tally, 3, None));
+    assert!(matches!(answer(5_500, 2), ReportAnswer::Take(_)), "not for long yet");
+    assert!(matches!(answer(7_000, 3), ReportAnswer::Go(_)));
+    assert!(matches!(answer(9_000, 4), ReportAnswer::Take(_)), "it found nobody");
+}
+
+#[test]
+fn only_strays_that_show_the_token_are_told_of() {
+    // A late copy must not bring a machine back or move it to another owner.
+    let mut core = node(1);
+    for (ms, tally, baton, told) in
+        [(0, 1, 2, 0), (1_000, 2, 2, 0), (1_400, 3, 3, 1), (1_450, 2, 2, 1)]
+    {
+        hear(&mut core, ms, &report(1, tally, baton, None));
+        assert_eq!(core.summary(Steady(ms), 900_000).strays.len(), told, "{ms}");
+    }
+}
+
+#[test]
+fn an_owner_that_refuses_is_tried_again_and_one_out_of_reach_is_not() {
+    // (ms, answered here, told that it cannot reach its owner). Seen after a crash: the
+    // owner had just started and refused, and its machines were moved with a new term.
+    type Case = &'static [(u64, bool, bool)];
+    let refused: Case =
+        &[(0, false, false), (1_000, true, false), (2_000, false, false), (3_000, true, false)];
+    let cut: Case = &[(0, false, false), (5_000, true, true), (6_000, true, true)];
+    for case in [refused, cut] {
+        let mut core = node(1);
+        for (n, (ms, kept, told)) in case.iter().enumerate() {
+            let got = hear(&mut core, *ms, &report(1, n as u64 + 1, 3, None)).0;
+            assert_eq!(got, *kept, "{ms}");
+            let strays = core.summary(Steady(*ms + 3_000), 900_000).strays;
+            assert_eq!(strays.iter().any(|s| s.since_ms > 2_500), *told, "{ms}");
+        }
+    }
+}
