The last few machines go early in large fleets only

Up to two unsettled machines were returned 8 s into a term though merely cut off, and there they are large ones that run long tasks. Change: at most a fiftieth of the machines that are up, so none below 50.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -36,10 +36,9 @@
 const UNHEARD_MS: u64 = 60_000;
 /// A controller hears workers if one reported within that time.
 const HEARS_MS: u64 = 2_000;
-/// Part of the machines, and least number of them, that are returned when only they keep a proof
-/// waiting; how long that is waited for beyond a report.
+/// Part of the machines that are returned when only they keep a proof waiting; how long that is
+/// waited for beyond a report. In a small fleet one machine is much of it.
 const FEW_PART: usize = 50;
-const FEW_LEAST: usize = 2;
 const FEW_WAIT_MS: u64 = 6_000;
 /// Silence beyond a lease after which a machine is returned though the term is young.
 const LONG_SILENT_MS: u64 = 3_000;
@@ -725,7 +724,7 @@
         // keeps tasks of many jobs waiting for a whole lease.
         let up = self.machines.values().filter(|m| m.up).count();
         let few = self.awaited
-            && self.unsettled.len() <= (up / FEW_PART).max(FEW_LEAST)
+            && are_few(self.unsettled.len(), up)
             && now.since(self.began) > pace.gap_ms + FEW_WAIT_MS;
         let reborn: HashSet<&MachineId> = self.nodes.values().flat_map(|n| &n.reborn).collect();
         let all_strays = self.nodes.values().flat_map(|n| &n.strays);
@@ -793,6 +792,11 @@
     }
 }
 
+/// Whether so many machines of all that are up can be done without.
+fn are_few(machines: usize, up: usize) -> bool {
+    machines <= up / FEW_PART
+}
+
 /// Highest-random-weight hashing of a machine over controllers.
 fn rendezvous(id: &MachineId, node: NodeId) -> u64 {
     let mut h: u64 = 0xcbf2_9ce4_8422_2325;
@@ -803,3 +807,18 @@
     h = h.wrapping_mul(0xff51_afd7_ed55_8ccd);
     h ^ (h >> 29)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn only_a_large_fleet_does_without_machines_that_merely_do_not_answer() {
+        // Seen at a site of 30 machines: a cut made large ones go back that ran long tasks.
+        let cases =
+            [(1, 30, false), (2, 49, false), (1, 50, true), (14, 700, true), (15, 700, false)];
+        for (machines, up, few) in cases {
+            assert_eq!(are_few(machines, up), few, "{machines} of {up}");
+        }
+    }
+}
