--- a/src/admit.rs
+++ b/src/admit.rs
@@ -193,6 +193,19 @@
     let steps: Vec<usize> = (0..demands.len())
         .filter(|&i| inside[i] && demands[i].curve == Curve::Step && demands[i].max > shares[i])
         .collect();
+    // Those that have to be in come before the others are weighed against concave jobs.
+    let (mut first, steps): (Vec<usize>, Vec<usize>) =
+        steps.into_iter().partition(|&i| demands[i].required);
+    first.sort_by(|&a, &b| {
+        let (a, b) = (&demands[a], &demands[b]);
+        a.rank.cmp(&b.rank).then(b.weight.total_cmp(&a.weight)).then(a.job.cmp(&b.job))
+    });
+    for i in first {
+        let d = &demands[i];
+        if f.take(d.team, Cores(d.cores.0 * u64::from(d.max - shares[i]))) {
+            shares[i] = d.max;
+        }
+    }
     if !steps.is_empty() {
         for i in best_steps(demands, &steps, inside, &shares, &f) {
             let d = &demands[i];
@@ -201,7 +214,7 @@
             }
         }
     }
-    fill_concave(demands, inside, &mut shares, &mut f);
+    fill_concave(demands, inside, &mut shares, &mut f, &mut |_, _| {});
     for (i, d) in demands.iter().enumerate() {
         if inside[i] {
             out.shares.insert(d.job, shares[i]);
@@ -259,7 +272,14 @@
     Next { rank: d.rank, per_core: gain(d, k) / cores, index: i }
 }
 
-fn fill_concave(demands: &[Demand], inside: &[bool], shares: &mut [u32], f: &mut Filling) {
+/// Fills concave jobs by marginal gain; `note` is told of each task's cores and what it adds.
+fn fill_concave(
+    demands: &[Demand],
+    inside: &[bool],
+    shares: &mut [u32],
+    f: &mut Filling,
+    note: &mut dyn FnMut(Cores, f64),
+) {
     let mut heap: BinaryHeap<Next> = (0..demands.len())
         .filter(|&i| inside[i] && matches!(demands[i].curve, Curve::Concave { .. }))
         .filter(|&i| shares[i] < demands[i].max)
@@ -270,6 +290,7 @@
         if !f.take(d.team, d.cores) {
             continue;
         }
+        note(d.cores, gain(d, shares[i]));
         shares[i] += 1;
         if shares[i] < d.max {
             heap.push(next_of(demands, i, shares[i]));
@@ -309,15 +330,18 @@
             }
         }
     }
+    // What the concave jobs make of any number of cores follows from filling them once: they take
+    // the best first, so fewer cores are the beginning of the same order.
+    let mut made: Vec<(u64, f64)> = vec![(0, 0.0)];
+    let mut left = Filling { room: f.room, teams: f.teams.clone() };
+    fill_concave(demands, inside, &mut shares.to_vec(), &mut left, &mut |cores, gain| {
+        let (used, sum) = made.last().copied().unwrap_or_default();
+        made.push((used + cores.0, sum + gain));
+    });
     let rest = |used: usize| {
-        let mut left =
-            Filling { room: f.room.less(Cores(unit * used as u64)), teams: f.teams.clone() };
-        let mut s = shares.to_vec();
-        fill_concave(demands, inside, &mut s, &mut left);
-        (0..demands.len())
-            .filter(|&i| inside[i] && matches!(demands[i].curve, Curve::Concave { .. }))
-            .map(|i| importance(&demands[i], s[i]))
-            .sum::<f64>()
+        let room = f.room.0.saturating_sub(unit * used as u64);
+        let until = made.partition_point(|m| m.0 <= room);
+        made.get(until.saturating_sub(1)).map_or(0.0, |m| m.1)
     };
     best.into_iter()
         .enumerate()
--- a/src/api.rs
+++ b/src/api.rs
@@ -274,7 +274,7 @@
         let done = job.progress.done.len();
         let running = standing.map_or(0, |s| s.running).min(job.spec.pieces - done);
         let stage = if running > 0 { JobStage::Running } else { JobStage::Pending };
-        let reason = standing.and_then(|s| describe(s.waits));
+        let reason = standing.and_then(|s| describe(s.waits, job.spec.shape, running));
         let answer =
             JobAnswer { job: id, stage, done, running, reason: reason.map(str::to_string) };
         Some(Response::new(200, wire::encode(&answer)))
@@ -330,9 +330,14 @@
     }
 }
 
-fn describe(waits: Waits) -> Option<&'static str> {
+fn describe(waits: Waits, shape: Shape, running: u32) -> Option<&'static str> {
+    let gang = shape == Shape::Gang && running == 0;
     match waits {
+        Waits::No if gang => Some("waits: its tasks begin once all of them can"),
         Waits::No => None,
+        Waits::ForMachines if gang => Some(
+            "waits: machines that hold all its tasks at once are not free, or are being rented",
+        ),
         Waits::BelowWaterline => Some("waits: more urgent jobs need the machines"),
         Waits::TeamLimit => Some("waits: its team's limit is used up"),
         Waits::ForMachines => Some("waits: machines are full, more are being rented"),
--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -5,8 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::model::{Cores, MachineId, Steady};
-use crate::place::{Flavors, Need, allowed};
-use crate::wire::{JobSpec, Urgency};
+use crate::place::{Flavors, Need, allowed, slots};
+use crate::wire::{JobSpec, Shape, Urgency};
 
 /// A kind of machine that can be rented.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -34,6 +34,8 @@
     pub free: Need,
     /// Seconds since something ran on it; 0 if something does.
     pub idle_s: f64,
+    /// Whether it is kept for gangs that may not use spot machines.
+    pub kept: bool,
     /// Whether it is about to go: taken by the cloud, being drained, or silent.
     pub leaving: bool,
 }
@@ -61,6 +63,9 @@
     pub load: Load,
     at: Steady,
     spare_since: Option<Steady>,
+    gangs_at: Steady,
+    /// The zone where gangs that may not use spot machines mostly run.
+    pub gang_zone: Option<String>,
 }
 
 /// What brief work would use; kept in the store for the next leader.
@@ -76,6 +81,12 @@
     /// The highest of urgent brief work, fading fast and slowly.
     peak: f64,
     slow_peak: f64,
+    /// Cores that gangs which may not use spot machines would use if all began on arrival, and the
+    /// largest of them, fading.
+    #[serde(default)]
+    gangs: Average,
+    #[serde(default)]
+    largest_gang: f64,
 }
 
 /// Mean and spread of an amount over time, old values fading.
@@ -138,6 +149,12 @@
 const READY_ANY: f64 = 0.5;
 const READY_MEAN: f64 = 1.1;
 
+/// What is kept of ordinary cores for gangs that may not use spot machines: their mean and so many
+/// deviations, over that time, and room for so many of the largest at any time.
+const GANG_DEVIATIONS: f64 = 1.5;
+const GANGS_OVER_S: f64 = 120.0;
+const LARGEST_GANGS: f64 = 2.0;
+
 /// The decision.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Decision {
@@ -170,6 +187,32 @@
         load.slow_peak = fade(load.slow_peak, SLOW_PEAK_HALVES_S);
     }
 
+    /// Notes the cores that gangs which may not use spot machines would use, and the largest of them.
+    pub fn note_gangs(&mut self, now: Steady, cores: Cores, largest: Cores) {
+        let dt = (now.since(self.gangs_at) as f64 / 1000.0).min(5.0);
+        self.gangs_at = now;
+        let load = &mut self.load;
+        if cores > Cores(0) || load.gangs.weight > 0.0 {
+            load.gangs.note(cores.amount(), (-dt / GANGS_OVER_S).exp());
+        }
+        let faded = load.largest_gang * 0.5f64.powf(dt / SLOW_PEAK_HALVES_S);
+        load.largest_gang = faded.max(largest.amount());
+        if load.largest_gang < 0.05 {
+            load.largest_gang = 0.0;
+        }
+    }
+
+    /// Ordinary cores that are to stay free for gangs which may not use spot machines, when they use
+    /// so many.
+    pub fn headroom(&self, in_use: f64) -> f64 {
+        let load = &self.load;
+        if load.largest_gang <= 0.0 {
+            return 0.0;
+        }
+        let ready = load.gangs.mean() + GANG_DEVIATIONS * load.gangs.deviation();
+        (ready - in_use).max(load.largest_gang * LARGEST_GANGS)
+    }
+
     /// Notes whether machines could be done without.
     pub fn note_spare(&mut self, now: Steady, spare: bool) {
         self.spare_since = self.spare_since.filter(|_| spare).or(spare.then_some(now));
@@ -192,15 +235,6 @@
     }
 }
 
-/// How many tasks fit on an empty machine.
-fn slots(need: &Need, offered: &Need) -> u32 {
-    let per = |n: Cores, o: Cores| o.0.checked_div(n.0).unwrap_or(u64::MAX);
-    per(need.cores, offered.cores)
-        .min(per(need.memory, offered.memory))
-        .min(per(need.accelerators, offered.accelerators))
-        .min(10_000) as u32
-}
-
 /// Whether work is brief in comparison with how long machines boot.
 pub fn is_brief(flavors: &Flavors, spec: &JobSpec, run_s: f64) -> bool {
     let need = Need::of(spec);
@@ -216,12 +250,12 @@
     wants: &[Want<'_>],
     market: &Market,
 ) -> Decision {
-    let mut bins: Vec<(Offer, Need)> = Vec::new();
+    let mut bins: Vec<Bin> = Vec::new();
     for h in held.iter().filter(|h| !h.leaving) {
         let startup = flavors.get(&h.offer.hull).map_or(60.0, |f| f.startup_s);
         // A machine that takes much longer than usual may never come.
         if !h.booting || h.age_s < startup * 2.0 {
-            bins.push((h.offer.clone(), h.free));
+            bins.push(Bin { offer: h.offer.clone(), free: h.free, kept: h.kept });
         }
     }
     let mut rent: BTreeMap<Offer, u32> = BTreeMap::new();
@@ -229,7 +263,18 @@
     let spot_only = |o: &Offer| o.spot && market.open(o, now);
     let per_zone = |zone: &str| held.iter().filter(|h| h.offer.zone == zone).count();
     let queues = queues(flavors, held, wants);
-    for (want, queue_s) in wants.iter().zip(&queues).filter(|(w, _)| !w.brief) {
+    // Gangs first: what they need is whole, and nothing else fits where it has to be.
+    for want in wants.iter().filter(|w| w.spec.shape == Shape::Gang && w.tasks > 0) {
+        rent_for_gang(flavors, want, &any, &mut bins, &mut rent, &per_zone);
+    }
+    let gangs_in_use: f64 = wants
+        .iter()
+        .filter(|w| w.spec.shape == Shape::Gang && !w.spec.loaners)
+        .map(|w| Need::of(w.spec).cores.amount() * f64::from(w.running))
+        .sum();
+    keep_ready(flavors, wants, market, gangs_in_use, &any, &mut bins, &mut rent, &per_zone);
+    let others = |w: &Want<'_>| !w.brief && w.spec.shape != Shape::Gang;
+    for (want, queue_s) in wants.iter().zip(&queues).filter(|(w, _)| others(w)) {
         // What waits for a short time only is not worth an ordinary machine.
         let patient = want.spec.urgency >= Urgency::Normal && *queue_s < PATIENT_S;
         let offers: &dyn Fn(&Offer) -> bool = if patient { &spot_only } else { &any };
@@ -238,10 +283,11 @@
     // What is free or brief work already has counts for the cores kept ready for it.
     let in_use: f64 = wants
         .iter()
-        .filter(|w| w.brief)
+        .filter(|w| w.brief && (w.spec.shape != Shape::Gang || w.spec.loaners))
         .map(|w| Need::of(w.spec).cores.amount() * f64::from(w.running))
         .sum();
-    if let Some(model) = wants.iter().filter(|w| w.brief).max_by_key(|w| w.tasks + w.running) {
+    let models = wants.iter().filter(|w| w.brief && w.spec.shape != Shape::Gang);
+    if let Some(model) = models.max_by_key(|w| w.tasks + w.running) {
         let each = Need::of(model.spec).cores.amount();
         let tasks = |spot| {
             let lacking = (market.ready(spot) - in_use).max(0.0);
@@ -254,7 +300,7 @@
         rent_for(flavors, &ready(more), &any, &mut bins, &mut rent, &per_zone);
     }
     let mut retire = if rent.is_empty() { retire(flavors, held, market, in_use) } else { vec![] };
-    let long = wants.iter().zip(&queues).filter(|(w, _)| !w.brief && w.tasks > 0);
+    let long = wants.iter().zip(&queues).filter(|(w, _)| others(w) && w.tasks > 0);
     let waiting = long.map(|(_, q)| *q).fold(0.0, f64::max) > PATIENT_S / 3.0;
     let mut spare = false;
     if rent.is_empty() && !waiting {
@@ -279,6 +325,87 @@
     Decision { retire, spare, rent: rent.into_iter().collect() }
 }
 
+/// What is free on a machine, or on one that is to be rented.
+#[derive(Clone)]
+struct Bin {
+    offer: Offer,
+    free: Need,
+    kept: bool,
+}
+
+impl Bin {
+    fn takes(&self, spec: &JobSpec) -> bool {
+        allowed(spec, &self.offer.hull, &self.offer.zone, self.offer.spot)
+            && !(self.kept && spec.loaners)
+    }
+}
+
+/// Room for a gang that waits: where most of it fits already, all in one zone if it wants that.
+fn rent_for_gang(
+    flavors: &Flavors,
+    want: &Want<'_>,
+    to_be_had: &dyn Fn(&Offer) -> bool,
+    bins: &mut Vec<Bin>,
+    rent: &mut BTreeMap<Offer, u32>,
+    per_zone: &dyn Fn(&str) -> usize,
+) {
+    if !want.spec.one_zone {
+        rent_for(flavors, want, to_be_had, bins, rent, per_zone);
+        return;
+    }
+    let need = Need::of(want.spec);
+    let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
+    for zone in flavors.values().flat_map(|f| &f.yards) {
+        zones.entry(zone).or_default();
+    }
+    for bin in bins.iter().filter(|b| b.takes(want.spec)) {
+        if let Some(n) = zones.get_mut(bin.offer.zone.as_str()) {
+            *n += slots(&need, &bin.free);
+        }
+    }
+    let mut order: Vec<(&str, u32)> = zones.into_iter().collect();
+    order.sort_by_key(|(z, n)| (std::cmp::Reverse((*n).min(want.tasks)), per_zone(z)));
+    for (zone, _) in order {
+        // What is in other zones does not help, and is left for others.
+        let (mut inside, outside): (Vec<Bin>, Vec<Bin>) =
+            bins.iter().cloned().partition(|b| b.offer.zone == zone);
+        let mut rented = rent.clone();
+        let here = |o: &Offer| o.zone == zone && to_be_had(o);
+        let left = rent_for(flavors, want, &here, &mut inside, &mut rented, per_zone);
+        if left == 0 {
+            inside.extend(outside);
+            (*bins, *rent) = (inside, rented);
+            return;
+        }
+    }
+}
+
+/// Ordinary cores for gangs that may not use spot machines, to be there when they come.
+#[allow(clippy::too_many_arguments)]
+fn keep_ready(
+    flavors: &Flavors,
+    wants: &[Want<'_>],
+    market: &Market,
+    in_use: f64,
+    to_be_had: &dyn Fn(&Offer) -> bool,
+    bins: &mut Vec<Bin>,
+    rent: &mut BTreeMap<Offer, u32>,
+    per_zone: &dyn Fn(&str) -> usize,
+) {
+    let firm = |w: &&Want<'_>| w.spec.shape == Shape::Gang && !w.spec.loaners;
+    let Some(model) = wants.iter().filter(firm).max_by_key(|w| w.tasks + w.running) else {
+        return;
+    };
+    let each = Need::of(model.spec).cores.amount().max(0.001);
+    let tasks = (market.headroom(in_use) / each).ceil() as u32;
+    let ready = Want { tasks, ..model.clone() };
+    let near = |o: &Offer| market.gang_zone.as_ref().is_none_or(|z| *z == o.zone) && to_be_had(o);
+    let left = rent_for(flavors, &ready, &near, bins, rent, per_zone);
+    if left > 0 {
+        rent_for(flavors, &Want { tasks: left, ..ready }, to_be_had, bins, rent, per_zone);
+    }
+}
+
 /// For each want, the seconds for which the machines that can take it are busy with all that
 /// waits now.
 fn queues(flavors: &Flavors, held: &[Held], wants: &[Want<'_>]) -> Vec<f64> {
@@ -307,18 +434,15 @@
     flavors: &Flavors,
     want: &Want<'_>,
     to_be_had: &dyn Fn(&Offer) -> bool,
-    bins: &mut Vec<(Offer, Need)>,
+    bins: &mut Vec<Bin>,
     rent: &mut BTreeMap<Offer, u32>,
     per_zone: &dyn Fn(&str) -> usize,
 ) -> u32 {
     let need = Need::of(want.spec);
     let mut left = want.tasks;
-    for (offer, free) in bins.iter_mut() {
-        if !allowed(want.spec, &offer.hull, &offer.zone, offer.spot) {
-            continue;
-        }
-        while left > 0 && need.fits(free) {
-            need.take_from(free);
+    for bin in bins.iter_mut().filter(|b| b.takes(want.spec)) {
+        while left > 0 && need.fits(&bin.free) {
+            need.take_from(&mut bin.free);
             left -= 1;
         }
     }
@@ -333,7 +457,7 @@
             need.take_from(&mut free);
         }
         left -= fit;
-        bins.push((offer.clone(), free));
+        bins.push(Bin { offer: offer.clone(), free, kept: false });
         *rent.entry(offer).or_default() += 1;
     }
     left
@@ -395,8 +519,9 @@
         let of_type = || up().filter(|h| h.offer.hull == *hull);
         let in_use = of_type().map(used).sum::<f64>().max(long(hull)) * (1.0 + SPARE_PART);
         let mut spare = of_type().map(cores).sum::<f64>() - in_use - lacking;
-        let mut some: Vec<&Held> =
-            of_type().filter(|h| h.offer.spot == spot && h.age_s >= LEAST_PAID_S).collect();
+        let mut some: Vec<&Held> = of_type()
+            .filter(|h| h.offer.spot == spot && !h.kept && h.age_s >= LEAST_PAID_S)
+            .collect();
         some.sort_by(|a, b| used(a).total_cmp(&used(b)).then_with(|| a.id.cmp(&b.id)));
         for h in some.into_iter().take(most) {
             spare -= cores(h);
@@ -421,7 +546,7 @@
         in_use + held.iter().filter(|h| !h.leaving).map(|h| h.free.cores.amount()).sum::<f64>();
     let mut idle: Vec<&Held> = held
         .iter()
-        .filter(|h| !h.leaving && !h.booting && h.age_s >= LEAST_PAID_S)
+        .filter(|h| !h.leaving && !h.booting && !h.kept && h.age_s >= LEAST_PAID_S)
         .filter(|h| h.idle_s >= if h.offer.spot { IDLE_SPOT_S } else { IDLE_ORDINARY_S })
         .collect();
     idle.sort_by(|a, b| price(&b.offer).total_cmp(&price(&a.offer)).then_with(|| a.id.cmp(&b.id)));
@@ -456,6 +581,7 @@
             age_s: 100.0,
             free: Need::offered(&flavor("small", 8.0, 64.0)),
             idle_s,
+            kept: false,
             leaving: false,
         }
     }
--- a/src/config.rs
+++ b/src/config.rs
@@ -149,6 +149,20 @@
     pub lease_s: f64,
     /// The time within which a cancelled job's tasks have to be gone.
     pub cancel_s: f64,
+    /// How long a gang's task waits for the others.
+    #[serde(default = "gang_wait_s")]
+    pub gang_wait_s: f64,
+    /// The time within which a gang's tasks notice that one is gone, and must all be told to stop.
+    #[serde(default = "gang_peer_s")]
+    pub gang_peer_s: f64,
+}
+
+fn gang_wait_s() -> f64 {
+    30.0
+}
+
+fn gang_peer_s() -> f64 {
+    5.0
 }
 
 /// Budgets of the state service.
@@ -162,6 +176,40 @@
     pub value_kb: f64,
     /// Changes per transaction.
     pub txn_ops: usize,
+    /// The limits that the service will have from some moment on, without notice.
+    #[serde(default)]
+    pub next: Option<NextLimits>,
+}
+
+/// Limits of the state service to come; what is missing stays.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(default)]
+pub struct NextLimits {
+    /// Requests a second, all controllers together.
+    pub rps: Option<f64>,
+    /// Changes a second, all controllers together.
+    pub write_rps: Option<f64>,
+    /// KiB per value.
+    pub value_kb: Option<f64>,
+    /// Changes per transaction.
+    pub txn_ops: Option<usize>,
+}
+
+impl StateLimits {
+    /// Takes the lower of both sets of limits. Nobody tells when the next ones begin to hold, so
+    /// what is written keeps both from the start.
+    fn obey_both(&mut self) {
+        let Some(next) = self.next.clone() else { return };
+        self.rps = next.rps.map_or(self.rps, |n| n.min(self.rps));
+        self.write_rps = next.write_rps.map_or(self.write_rps, |n| n.min(self.write_rps));
+        self.value_kb = next.value_kb.map_or(self.value_kb, |n| n.min(self.value_kb));
+        self.txn_ops = next.txn_ops.map_or(self.txn_ops, |n| n.min(self.txn_ops));
+    }
+
+    /// Bytes of a value that a writer fills.
+    pub fn value_bytes(&self) -> usize {
+        (self.value_kb * 1024.0) as usize
+    }
 }
 
 /// Budgets of the cloud.
@@ -212,9 +260,10 @@
 
     /// Parses and checks the text of a settings file.
     pub fn parse(text: &str) -> Result<Self, ConfigError> {
-        let settings: Settings = toml::from_str(text)
+        let mut settings: Settings = toml::from_str(text)
             .map_err(|e| ConfigError::Parse(e.to_string().trim().replace('\n', " ")))?;
         settings.check()?;
+        settings.params.state.obey_both();
         Ok(settings)
     }
 
@@ -246,7 +295,16 @@
             ("params.state.write_rps", p.state.write_rps),
             ("params.state.value_kb", p.state.value_kb),
             ("params.cloud.rps", p.cloud.rps),
+            ("params.workers.gang_wait_s", p.workers.gang_wait_s),
+            ("params.workers.gang_peer_s", p.workers.gang_peer_s),
+        ];
+        let next = p.state.next.clone().unwrap_or_default();
+        let to_come = [
+            ("params.state.next.rps", next.rps),
+            ("params.state.next.write_rps", next.write_rps),
+            ("params.state.next.value_kb", next.value_kb),
         ];
+        let positive = positive.into_iter().chain(to_come.map(|(f, v)| (f, v.unwrap_or(1.0))));
         for (field, value) in positive {
             if !(value.is_finite() && value > 0.0) {
                 return bad(field, "must be a number above 0");
@@ -258,8 +316,21 @@
                 "must exceed lease_s by 4 s or more, or cancelled tasks can't be proven gone in time",
             );
         }
-        if p.state.txn_ops < 4 {
-            return bad("params.state.txn_ops", "must be 4 or more");
+        for (field, ops) in [
+            ("params.state.txn_ops", Some(p.state.txn_ops)),
+            ("params.state.next.txn_ops", next.txn_ops),
+        ] {
+            if ops.is_some_and(|n| n < 2) {
+                return bad(field, "must be 2 or more");
+            }
+        }
+        for (field, kb) in [
+            ("params.state.value_kb", Some(p.state.value_kb)),
+            ("params.state.next.value_kb", next.value_kb),
+        ] {
+            if kb.is_some_and(|kb| kb < 1.0) {
+                return bad(field, "must be 1 or more, or an accepted job may not fit");
+            }
         }
         for team in &p.teams {
             let amounts = [team.cpus, team.cpus_max, team.gpus, team.gpus_max];
@@ -384,7 +455,13 @@
             (10.0, 30.0, 14_500, 15_000, 13_500, 30_000),
         ];
         for (report_s, lease_s, silent, unused, stray, quick) in cases {
-            let p = Pace::of(&Workers { report_s, lease_s, cancel_s: 99.0 });
+            let p = Pace::of(&Workers {
+                report_s,
+                lease_s,
+                cancel_s: 99.0,
+                gang_wait_s: 30.0,
+                gang_peer_s: 5.0,
+            });
             let got = (p.silent_ms, p.unused_ms, p.stray_ms, p.quick_ms);
             assert_eq!(got, (silent, unused, stray, quick), "{report_s} {lease_s}");
             assert!(p.gap_ms + 1_000 <= p.stray_ms && p.gap_ms < p.silent_ms);
--- a/src/core.rs
+++ b/src/core.rs
@@ -8,7 +8,7 @@
 use crate::config::{NodeInfo, Settings};
 use crate::lead::{Context, Epoch, Lead};
 use crate::ledger::{self, Brought, LeadRecord, Ledger, MemberRecord, TermRecord};
-use crate::model::{Incarnation, JobId, NodeId, Revision, Steady, StoreLease, Term, Wall};
+use crate::model::{Incarnation, JobId, NodeId, Revision, Steady, StoreLease, TaskId, Term, Wall};
 use crate::part::{Announcement, Part, ReportAnswer, Surroundings};
 use crate::peer::{Plan, Summary, Tell};
 use crate::place::Flavors;
@@ -158,10 +158,28 @@
         if brought.progress {
             self.part.tidy(&self.ledger);
         }
-        if let Some((flavors, _)) = &self.ledger.flavors
-            && self.flavors.is_empty()
+        if brought.progress || brought.jobs {
+            self.complete_gangs(now.steady);
+        }
+        if self.flavors.is_empty()
+            && let Some(flavors) = self.ledger.all_flavors()
         {
-            self.set_flavors(&flavors.clone());
+            self.set_flavors(&flavors);
+        }
+    }
+
+    /// If one task of a gang is done, all are. A version that does not know that may have put some
+    /// of them on record alone.
+    fn complete_gangs(&mut self, now: Steady) {
+        let partly: Vec<JobId> = self
+            .ledger
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.spec.shape == wire::Shape::Gang && !j.progress.done.is_empty())
+            .map(|(id, _)| *id)
+            .collect();
+        for job in partly {
+            self.part.note_done(now, &self.ledger, TaskId { job, index: 0 });
         }
     }
 
@@ -239,7 +257,11 @@
     pub fn member_txn(&self, lease: StoreLease) -> Txn {
         let path = ledger::member_key(self.me);
         let stamp = self.ledger.members.get(&self.me).map_or(Revision(0), |m| m.1);
-        let value = wire::to_value(&MemberRecord { life: self.life });
+        let value = wire::to_value(&MemberRecord {
+            life: self.life,
+            version: env!("CARGO_PKG_VERSION").into(),
+            speaks: ledger::SPEAKS,
+        });
         Txn {
             guards: vec![Guard { path: path.clone(), stamp }],
             apply: vec![Change::Set { path, value, lease: Some(lease) }],
@@ -399,13 +421,14 @@
         }
         due.sort();
         let mut txn = Txn::default();
+        let bytes = self.settings.params.state.value_bytes();
         for (_, _, id) in due.into_iter().take(self.settings.params.state.txn_ops) {
             let (Some(job), Some(f)) = (self.ledger.jobs.get(&id), self.part.finished.get_mut(&id))
             else {
                 continue;
             };
             f.since = now;
-            let Some(progress) = Ledger::with_done(job, f.tasks.iter()) else { continue };
+            let Some(progress) = Ledger::with_done(job, f.tasks.iter(), bytes) else { continue };
             let path = ledger::progress_key(id);
             txn.guards.push(Guard { path: path.clone(), stamp: job.progress_stamp });
             txn.apply.push(Change::Set { path, value: wire::to_value(&progress), lease: None });
@@ -418,7 +441,7 @@
         let job = self.ledger.jobs.get(&id)?;
         let progress = ledger::Progress {
             end: Some(wire::JobStage::Withdrawn),
-            done: job.progress.done.clone(),
+            done: job.progress.done.fitting(self.settings.params.state.value_bytes()),
         };
         let path = ledger::progress_key(id);
         Some(Txn {
@@ -429,7 +452,12 @@
 }
 
 /// The transaction that accepts jobs which are not known yet.
-pub fn accept_txn<'a>(specs: impl Iterator<Item = &'a wire::JobSpec>, at: Wall) -> Txn {
+pub fn accept_txn<'a>(
+    specs: impl Iterator<Item = &'a wire::JobSpec>,
+    at: Wall,
+    flavors: &Flavors,
+    bytes: usize,
+) -> Txn {
     let mut txn = Txn::default();
     for spec in specs {
         let path = ledger::job_key(spec.r#ref);
@@ -437,7 +465,7 @@
             continue;
         }
         txn.guards.push(Guard { path: path.clone(), stamp: Revision(0) });
-        let accepted = ledger::Accepted { spec: spec.clone(), at };
+        let accepted = ledger::Accepted { spec: ledger::kept_spec(spec, flavors, bytes), at };
         txn.apply.push(Change::Set { path, value: wire::to_value(&accepted), lease: None });
     }
     txn
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -71,6 +71,8 @@
     pub failing: Vec<u64>,
     strays: Vec<crate::peer::Stray>,
     reborn: Vec<MachineId>,
+    /// When the cloud takes machines of its part.
+    notices: BTreeMap<MachineId, Steady>,
     machines: BTreeMap<MachineId, Known>,
     /// What the first pieces of a summary told whose last one has not come.
     pending: Option<Pending>,
@@ -229,6 +231,7 @@
             failing: Vec::new(),
             strays: Vec::new(),
             reborn: Vec::new(),
+            notices: BTreeMap::new(),
             machines: BTreeMap::new(),
             pending: None,
         });
@@ -242,6 +245,7 @@
         state.failing = s.failing;
         state.strays = s.strays;
         state.reborn = s.reborn;
+        state.notices = s.notices.into_iter().map(|(id, ms)| (id, now.plus(ms))).collect();
         let answered = s.answered.into_iter().map(|(id, age)| (id, now.less(age)));
         let mut pieces = state.pending.take().filter(|_| s.base > 0).unwrap_or_default();
         pieces.whole |= s.base == 0;
@@ -366,6 +370,22 @@
         on
     }
 
+    fn owner_state(&self, id: &MachineId) -> Option<&NodeState> {
+        self.nodes.get(&self.owners.get(id)?.0)
+    }
+
+    /// When the cloud takes a machine, if it gave notice.
+    pub fn leaves(&self, id: &MachineId) -> Option<Steady> {
+        self.owner_state(id)?.notices.get(id).copied()
+    }
+
+    /// Whether a machine reported to its owner, and its owner here, within that time.
+    pub fn heard_within(&self, now: Steady, id: &MachineId, ms: u64) -> bool {
+        let owner = self.owner_state(id).filter(|n| now.since(n.at) < NODE_LOST_MS);
+        let known = owner.and_then(|n| n.machines.get(id));
+        known.is_some_and(|k| now.since(k.heard) < ms)
+    }
+
     /// Machines as placement sees them.
     pub fn rooms(&self, ctx: &Context<'_>) -> Vec<Room> {
         let pace = ctx.settings.pace();
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -49,6 +49,7 @@
 /// Longest time for which parts are not told how jobs stand.
 const STANDINGS_MS: u64 = 1_000;
 
+mod gang;
 mod limits;
 mod record;
 
@@ -80,6 +81,8 @@
     attempt: Option<Attempt>,
     at: Steady,
     zone: Option<String>,
+    /// Whether a worker has shown it; followed for gangs only.
+    seen: bool,
 }
 
 struct Revoked {
@@ -143,6 +146,11 @@
     decided: Option<Steady>,
     machines_written: Steady,
     load_written: Steady,
+    /// Gangs granted in this term, and those that are being stopped.
+    gangs: FxHashMap<JobId, gang::Gang>,
+    halts: BTreeMap<JobId, gang::Halt>,
+    /// Machines that are kept for gangs which may not use spot machines.
+    kept: Vec<MachineId>,
 }
 
 impl Epoch {
@@ -190,6 +198,9 @@
             decided: None,
             machines_written: Steady(0),
             load_written: ctx.now,
+            gangs: FxHashMap::default(),
+            halts: BTreeMap::new(),
+            kept: Vec::new(),
         };
         if let Some((load, _)) = &ledger.load {
             lead.market.load = load.clone();
@@ -263,9 +274,12 @@
         let on = fleet.on_machines();
         self.learn(ctx, &on);
         self.settle(ctx, &on, fleet.unsettled.is_empty());
+        self.supervise_gangs(ctx, &fleet, &on);
+        let mut rooms = self.rooms(ctx, &fleet, &on);
+        self.keep_for_gangs(ctx, &fleet, &on, &mut rooms);
         let filling = Filling {
             used: self.team_use(ctx, &fleet, &on),
-            rooms: self.rooms(ctx, &fleet, &on),
+            rooms,
             grants: Vec::new(),
             counts: self.counts(&on),
         };
@@ -399,17 +413,23 @@
             room.slow = self.speeds.get(&room.id).is_some_and(Speed::is_slow);
         }
         let owner = |r: &Room| fleet.owners.get(&r.id).map(|o| o.0);
-        let mut under_way: BTreeMap<(NodeId, JobId, Option<&str>), usize> = BTreeMap::new();
+        type Alike<'a> = (NodeId, JobId, Option<&'a str>, Option<Attempt>);
+        let mut under_way: BTreeMap<Alike<'_>, usize> = BTreeMap::new();
         for (t, g) in self.granted.iter().filter(|(t, _)| !on.contains_key(t)) {
-            *under_way.entry((g.node, t.job, g.zone.as_deref())).or_default() += 1;
+            *under_way.entry((g.node, t.job, g.zone.as_deref(), g.attempt)).or_default() += 1;
         }
-        for ((node, job, zone), count) in under_way {
+        for ((node, job, zone, attempt), count) in under_way {
             let Some(job) = ctx.ledger.jobs.get(&job) else { continue };
             // Rooms come part by part.
             let first = rooms.iter().position(|r| owner(r) == Some(node)).unwrap_or(rooms.len());
             let len = rooms[first..].iter().take_while(|r| owner(r) == Some(node)).count();
             let part = &mut rooms[first..first + len];
-            place::spread(&job.spec, &Need::of(&job.spec), part, zone, count);
+            let need = Need::of(&job.spec);
+            if attempt.is_some() {
+                place::pack_in(&job.spec, &need, part, zone, count);
+            } else {
+                place::spread(&job.spec, &need, part, zone, count);
+            }
         }
         rooms
     }
@@ -489,7 +509,7 @@
                 self.waits.entry(d.job).or_insert(Waits::ForMachines);
             }
             if job.spec.shape == Shape::Gang {
-                filling = self.grant_gang(ctx, fleet, on, job, d.team, more, filling);
+                self.grant_gang(ctx, fleet, on, job, d.team, more, held, &mut filling);
             } else {
                 self.grant_job(ctx, fleet, on, job, d.team, more, &mut filling);
             }
@@ -511,6 +531,12 @@
             let Some(job) = ctx.ledger.jobs.get(&d.job) else { continue };
             let need = Need::of(&job.spec);
             let running = counts.get(&d.job).map_or(0, |c| c.0);
+            if job.spec.shape == Shape::Gang {
+                if running == 0 && waited_ms(ctx, job) > STARVED_MS / 3 {
+                    hold_back_for_gang(ctx, job, &need, &mut filling.rooms);
+                }
+                continue;
+            }
             if held >= STARVED_ROOMS
                 || !starved(ctx, job, running)
                 || filling.rooms.iter().any(|r| r.takes(&job.spec, &need, None))
@@ -533,36 +559,6 @@
         }
     }
 
-    /// Grants a gang whole or not at all.
-    #[allow(clippy::too_many_arguments)]
-    fn grant_gang(
-        &mut self,
-        ctx: &Context<'_>,
-        fleet: &Fleet,
-        on: &OnMachines<'_>,
-        job: &Job,
-        team: usize,
-        more: usize,
-        filling: Filling,
-    ) -> Filling {
-        if more < job.remaining() as usize {
-            return filling;
-        }
-        let before = filling.grants.len();
-        let mut tried = filling.clone();
-        self.grant_job(ctx, fleet, on, job, team, more, &mut tried);
-        if tried.grants.len() - before < more {
-            self.waits.entry(job.spec.r#ref).or_insert(Waits::ForMachines);
-            return filling;
-        }
-        // The tasks of a gang know each other by their attempt.
-        let attempt = self.attempts.give();
-        for (_, g) in &mut tried.grants[before..] {
-            g.attempt = Some(attempt);
-        }
-        tried
-    }
-
     /// Grants up to `more` tasks of a job, as far as its team's limit, its zones and the
     /// machines allow.
     #[allow(clippy::too_many_arguments)]
@@ -619,7 +615,9 @@
                 u.0.0 += need.cores.0;
                 u.1.0 += need.accelerators.0;
             }
-            filling.grants.push((task, Granted { node, attempt: None, at: ctx.now, zone }));
+            filling
+                .grants
+                .push((task, Granted { node, attempt: None, at: ctx.now, zone, seen: false }));
         }
     }
 
@@ -665,14 +663,23 @@
             let tries = if failing.contains(id) { runnable.min(1) } else { runnable };
             let mut rank = ranks.get(id).copied().unwrap_or(u32::MAX);
             let mut weight = weight(ctx, job, self.run_s(job), required.contains(id));
-            let mut tries = tries;
+            let mut tries = match job.spec.shape {
+                Shape::Gang => self.gang_tries(job, held, limbo),
+                Shape::Sweep | Shape::Service => tries,
+            };
             let starved = starved(ctx, job, held);
-            if starved && job.spec.shape != Shape::Gang {
-                // Nobody waits without bound: it begins with a few tasks before others go on.
+            let gang = job.spec.shape == Shape::Gang;
+            if starved {
+                // Nobody waits without bound: it begins with a few tasks before others go on, or
+                // with all if it runs whole or not at all.
                 rank = rank.min(STARVED_RANK);
                 weight = weight.max(STARVED_WEIGHT);
-                tries = tries.min(job.spec.pieces.div_ceil(STARVED_PART));
+                if !gang {
+                    tries = tries.min(job.spec.pieces.div_ceil(STARVED_PART));
+                }
             }
+            // What is kept for such gangs is of no use to others.
+            let kept_for = gang && !job.spec.loaners && tries > 0;
             demands.push(Demand {
                 job: *id,
                 rank,
@@ -685,7 +692,7 @@
                 cores: Need::of(&job.spec).cores,
                 min: held,
                 max: held + tries,
-                required: starved || required.contains(id),
+                required: starved || kept_for || required.contains(id),
             });
         }
         demands
@@ -703,6 +710,7 @@
         let granting: FxHashSet<TaskId> = epoch.grants.iter().map(|g| g.0).collect();
         let mut wants: Vec<Want<'_>> = Vec::new();
         let (mut brief_cores, mut urgent, mut long) = (Cores(0), Cores(0), Cores(0));
+        let (mut gang_cores, mut largest) = (Cores(0), Cores(0));
         let mut team_room: HashMap<&str, u64> = HashMap::new();
         for t in &ctx.settings.params.teams {
             let limit = t.core_limit().map_or(u64::MAX, |c| c.0);
@@ -725,7 +733,17 @@
             }
             let run_s = self.run_s(job);
             let brief = capacity::is_brief(ctx.flavors, &job.spec, run_s);
-            if brief && (ctx.wall.0.saturating_sub(job.at.0) as f64) < run_s * 1000.0 {
+            let age_ms = waited_ms(ctx, job) as f64;
+            if job.spec.shape == Shape::Gang && !job.spec.loaners {
+                let cores = Cores(need.cores.0 * u64::from(job.spec.pieces));
+                // It counts from its arrival for as long as it runs, wherever it is.
+                if age_ms < run_s * 1000.0 {
+                    gang_cores.0 += cores.0;
+                }
+                largest = largest.max(cores);
+            }
+            let firm = job.spec.shape == Shape::Gang && !job.spec.loaners;
+            if brief && !firm && age_ms < run_s * 1000.0 {
                 let cores = need.cores.0 * u64::from(job.spec.pieces).min(can);
                 brief_cores.0 += cores;
                 urgent.0 += if job.spec.urgency <= Urgency::High { cores } else { 0 };
@@ -743,6 +761,7 @@
             });
         }
         self.market.note(now, brief_cores, urgent, long);
+        self.market.note_gangs(now, gang_cores, largest);
         let free: HashMap<&MachineId, &Room> = rooms.iter().map(|r| (&r.id, r)).collect();
         let machines: Vec<Held> = fleet
             .machines
@@ -757,6 +776,7 @@
                     age_s: now.since(m.since) as f64 / 1000.0,
                     free: room.map_or(offered, |r| r.free),
                     idle_s: now.since(m.busy) as f64 / 1000.0,
+                    kept: self.kept.binary_search(id).is_ok(),
                     leaving: m.draining.is_some()
                         || m.failed
                         || (m.up && room.is_none_or(|r| !r.open)),
@@ -797,6 +817,9 @@
         self.ahead.extend(epoch.ahead);
         for (task, g) in epoch.grants {
             self.ahead.remove(&task);
+            if let Some(attempt) = g.attempt {
+                self.note_gang(ctx.now, task.job, attempt);
+            }
             self.granted.insert(task, Granted { at: ctx.now, ..g });
         }
         let drain: Vec<MachineId> = self
@@ -832,6 +855,8 @@
                 slow: slow.clone(),
                 lapsed: lapsed.clone(),
                 standings: vec![],
+                stops: self.stops(),
+                kept: self.kept.clone(),
             };
             bodies.insert(*id, body);
         }
@@ -841,6 +866,8 @@
                     && o.drain == b.drain
                     && o.slow == b.slow
                     && o.lapsed == b.lapsed
+                    && o.stops == b.stops
+                    && o.kept == b.kept
             })
         };
         // A plan that tells nothing new would only be sent around.
@@ -867,7 +894,9 @@
     fn standings(&self, ctx: &Context<'_>) -> Vec<Standing> {
         let on = self.fleet.on_machines();
         let mut running: FxHashMap<JobId, u32> = FxHashMap::default();
-        for (t, _) in on.iter().filter(|(_, s)| s.stage != PieceStage::Unknown) {
+        // What still fetches its image or waits for its gang does not run.
+        let runs = |s: PieceStage| matches!(s, PieceStage::Running | PieceStage::Flushing);
+        for (t, _) in on.iter().filter(|(_, s)| runs(s.stage)) {
             *running.entry(t.job).or_default() += 1;
         }
         ctx.ledger
@@ -1041,7 +1070,54 @@
 
 /// Whether a job has waited long without a task of it having begun.
 fn starved(ctx: &Context<'_>, job: &Job, held: u32) -> bool {
-    held == 0 && job.progress.done.is_empty() && ctx.wall.0.saturating_sub(job.at.0) > STARVED_MS
+    held == 0 && job.progress.done.is_empty() && waited_ms(ctx, job) > STARVED_MS
+}
+
+/// Milliseconds since a job was accepted.
+fn waited_ms(ctx: &Context<'_>, job: &Job) -> u64 {
+    ctx.wall.0.saturating_sub(job.at.0)
+}
+
+/// Keeps machines from others in the zone where a gang that fits nowhere can begin first: those
+/// that would hold it once they are empty.
+fn hold_back_for_gang(ctx: &Context<'_>, job: &Job, need: &Need, rooms: &mut [Room]) {
+    let count = job.spec.pieces as usize;
+    let all = vec![true; rooms.len()];
+    let zones: Vec<Option<&str>> = match job.spec.one_zone {
+        true => ctx.settings.params.zones.iter().map(|z| Some(z.as_str())).collect(),
+        false => vec![None],
+    };
+    if zones.iter().any(|z| place::pack(&job.spec, need, rooms, &all, *z, count).is_some()) {
+        return;
+    }
+    let slots = |r: &Room| {
+        let offered = ctx.flavors.get(&*r.hull).map(Need::offered).unwrap_or_default();
+        let may = r.open && place::allowed(&job.spec, &r.hull, &r.zone, r.spot);
+        if may { place::slots(need, &offered) as usize } else { 0 }
+    };
+    // The zone that lacks least now, of those that could hold it at all.
+    let mut best: Option<(usize, Vec<usize>)> = None;
+    for zone in zones {
+        let mut inside: Vec<usize> = (0..rooms.len())
+            .filter(|&i| zone.is_none_or(|z| *z == *rooms[i].zone) && slots(&rooms[i]) > 0)
+            .collect();
+        inside.sort_by_key(|&i| std::cmp::Reverse((rooms[i].free.cores, i)));
+        let (mut could, mut can, mut chosen) = (0, 0, Vec::new());
+        for i in inside {
+            if could >= count {
+                break;
+            }
+            could += slots(&rooms[i]);
+            can += place::slots(need, &rooms[i].free) as usize;
+            chosen.push(i);
+        }
+        if could >= count && best.as_ref().is_none_or(|b| can > b.0) {
+            best = Some((can, chosen));
+        }
+    }
+    for i in best.into_iter().flat_map(|b| b.1) {
+        rooms[i].open = false;
+    }
 }
 
 /// Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs.
--- /dev/null
+++ b/src/lead/gang.rs
@@ -0,0 +1,364 @@
+//! Gangs: jobs whose tasks run all at once or not at all.
+//!
+//! A gang is granted whole, with one attempt for all of its tasks, and only while none of them is
+//! on a machine, granted, or may be running. While it gathers, a start that was lost is granted
+//! again with that attempt. When a task is gone that a worker had shown, or the gang does not come
+//! together in time, the rest is stopped, and once all are proven gone the gang begins anew.
+
+use std::collections::BTreeMap;
+
+use rustc_hash::FxHashMap;
+
+use super::{Context, Filling, Granted, Lead, Revoked, ZoneRule};
+use crate::fleet::{Fleet, OnMachines};
+use crate::ledger::Job;
+use crate::model::{Attempt, Cores, JobId, PlanSeq, Steady, TaskId};
+use crate::peer::{Stop, Waits};
+use crate::place::{self, Need, Room};
+use crate::wire::{PieceStage, Shape};
+
+/// Part of the time that a gang's tasks wait for each other in which it has to be whole.
+const GATHER_PART: f64 = 0.4;
+/// What a stop's way to all controllers and machines may take, besides one report.
+const STOP_WAY_MS: u64 = 1_500;
+/// How long a stop is left to work before the tasks that are still there are ended at once.
+const STOP_AGAIN_MS: u64 = 3_000;
+
+/// A gang that was granted in this term.
+#[derive(Clone, Debug)]
+pub(super) struct Gang {
+    attempt: Attempt,
+    since: Steady,
+}
+
+/// A gang that is being stopped.
+#[derive(Clone, Debug)]
+pub(super) struct Halt {
+    pub(super) stop: Stop,
+    until: Steady,
+}
+
+/// Where a gang's tasks are.
+#[derive(Default)]
+struct Presence {
+    on: u32,
+    running: u32,
+    under_way: u32,
+    revoked: u32,
+    limbo: u32,
+    /// A worker had shown it, and it is nowhere now.
+    lost: bool,
+    /// When the first of its machines goes.
+    leaves: Option<Steady>,
+    /// All its machines were heard lately.
+    heard: bool,
+}
+
+impl Presence {
+    fn is_empty(&self) -> bool {
+        self.on + self.under_way + self.revoked + self.limbo == 0
+    }
+}
+
+impl Lead {
+    /// Looks after gangs that are under way: what is no longer whole is stopped.
+    pub(super) fn supervise_gangs(
+        &mut self,
+        ctx: &Context<'_>,
+        fleet: &Fleet,
+        on: &OnMachines<'_>,
+    ) {
+        let is_gang = |j: &Job| j.spec.shape == Shape::Gang;
+        let mut gangs: BTreeMap<JobId, Presence> = ctx
+            .ledger
+            .jobs
+            .iter()
+            .filter(|(_, j)| is_gang(j))
+            .map(|(id, _)| (*id, Presence { heard: true, ..Presence::default() }))
+            .collect();
+        self.gangs.retain(|id, _| gangs.contains_key(id));
+        self.halts.retain(|id, _| gangs.contains_key(id));
+        if gangs.is_empty() {
+            return;
+        }
+        let silent_ms = ctx.settings.pace().silent_ms;
+        for (t, seen) in on {
+            let Some(p) = gangs.get_mut(&t.job) else { continue };
+            p.on += 1;
+            let runs = matches!(seen.stage, PieceStage::Running | PieceStage::Flushing);
+            p.running += u32::from(runs);
+            p.leaves = match (p.leaves, fleet.leaves(&seen.machine.id)) {
+                (Some(a), Some(b)) => Some(a.min(b)),
+                (a, b) => a.or(b),
+            };
+            p.heard &= fleet.heard_within(ctx.now, &seen.machine.id, silent_ms);
+        }
+        for (t, g) in &mut self.granted {
+            let Some(p) = gangs.get_mut(&t.job) else { continue };
+            match on.get(t) {
+                Some(seen) => g.seen |= seen.stage != PieceStage::Unknown,
+                None => {
+                    p.under_way += 1;
+                    p.lost |= g.seen;
+                }
+            }
+        }
+        for t in self.revoked.keys().filter(|t| !on.contains_key(t)) {
+            if let Some(p) = gangs.get_mut(&t.job) {
+                p.revoked += 1;
+            }
+        }
+        for t in &self.limbo {
+            if let Some(p) = gangs.get_mut(&t.job) {
+                p.limbo += 1;
+            }
+        }
+        for (id, p) in gangs {
+            self.supervise(ctx, id, &p);
+        }
+    }
+
+    fn supervise(&mut self, ctx: &Context<'_>, id: JobId, p: &Presence) {
+        let now = ctx.now;
+        if p.is_empty() {
+            self.gangs.remove(&id);
+            self.halts.remove(&id);
+            return;
+        }
+        // If one task is done all are, and what is left of them goes when that is on record.
+        let Some(job) = ctx.ledger.jobs.get(&id) else { return };
+        if ctx.finished.contains_key(&id) || p.limbo > 0 || !job.progress.done.is_empty() {
+            return;
+        }
+        if let Some(halt) = self.halts.get(&id) {
+            if halt.stop.leeway_ms > 0 && now >= halt.until {
+                self.halt(ctx, id, 0, "it does not end");
+            }
+            return;
+        }
+        let whole = p.on + p.under_way == job.spec.pieces && p.revoked == 0 && !p.lost;
+        if whole {
+            self.stop_in_order(ctx, job, p);
+            return;
+        }
+        let workers = &ctx.settings.params.workers;
+        let limit = (workers.gang_wait_s * GATHER_PART * 1000.0) as u64;
+        let gathers = self.gangs.get(&id).is_some_and(|g| now.since(g.since) < limit);
+        if gathers && p.running == 0 && !p.lost {
+            return;
+        }
+        let why = match (p.lost || p.running > 0, gathers) {
+            (true, _) => "a task is gone",
+            (false, true) => "it is not whole",
+            (false, false) => "it did not come together in time",
+        };
+        self.halt(ctx, id, 0, why);
+    }
+
+    /// Stops a running gang whose machine is about to be taken, if all its machines can be told in
+    /// time and saving is worth anything: as late as that allows.
+    fn stop_in_order(&mut self, ctx: &Context<'_>, job: &Job, p: &Presence) {
+        let Some(leaves) = p.leaves.filter(|_| p.running == job.spec.pieces) else { return };
+        if job.spec.bookmark_s <= 0.0 || !p.heard {
+            return;
+        }
+        let pace = ctx.settings.pace();
+        let peer_ms = (ctx.settings.params.workers.gang_peer_s * 1000.0) as u64;
+        let save_ms = (job.spec.stash_s * 1000.0) as u64;
+        let way_ms = (pace.gap_ms + STOP_WAY_MS).min(peer_ms);
+        let left = leaves.since(ctx.now);
+        if left < save_ms + way_ms / 2 || left > save_ms + way_ms + STOP_AGAIN_MS {
+            return; // Too late, or there is time yet.
+        }
+        self.halt(ctx, job.spec.r#ref, save_ms + peer_ms, "its machine is about to be taken");
+    }
+
+    /// Stops a gang wherever its tasks are and takes back what is granted of it.
+    fn halt(&mut self, ctx: &Context<'_>, id: JobId, leeway_ms: u64, why: &str) {
+        tracing::info!(job = %id, why, leeway_ms, "stopping a gang");
+        let next = PlanSeq(self.seq.0 + 1);
+        let taken: Vec<TaskId> = self.granted.keys().filter(|t| t.job == id).copied().collect();
+        for t in taken {
+            if let Some(g) = self.granted.remove(&t) {
+                self.revoked.insert(t, Revoked { node: g.node, seq: next, zone: g.zone });
+            }
+        }
+        let before = self.attempts.give();
+        let stop = Stop { job: id.0, before, leeway_ms };
+        let until = ctx.now.plus(leeway_ms + STOP_AGAIN_MS);
+        self.halts.insert(id, Halt { stop, until });
+        self.gangs.remove(&id);
+    }
+
+    /// Whether a gang may be granted now, as a whole or, while it gathers, what is missing of it.
+    pub(super) fn gang_tries(&self, job: &Job, held: u32, limbo: u32) -> u32 {
+        let id = job.spec.r#ref;
+        let missing = job.spec.pieces.saturating_sub(held + limbo);
+        let open = job.progress.done.is_empty() && limbo == 0 && !self.halts.contains_key(&id);
+        if open && (held == 0 || self.gangs.contains_key(&id)) { missing } else { 0 }
+    }
+
+    /// Grants a gang whole or not at all, or what is missing while it gathers.
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn grant_gang(
+        &mut self,
+        ctx: &Context<'_>,
+        fleet: &Fleet,
+        on: &OnMachines<'_>,
+        job: &Job,
+        team: usize,
+        more: usize,
+        held: u32,
+        filling: &mut Filling,
+    ) {
+        let id = job.spec.r#ref;
+        if more == 0 || more < (job.spec.pieces.saturating_sub(held)) as usize {
+            return;
+        }
+        let need = Need::of(&job.spec);
+        if self.within_limit(ctx, team, &need, filling) < more {
+            self.waits.insert(id, Waits::TeamLimit);
+            return;
+        }
+        let free: Vec<TaskId> = (0..job.spec.pieces)
+            .map(|index| TaskId { job: id, index })
+            .filter(|t| self.is_free(ctx, on, *t))
+            .collect();
+        if free.len() != more {
+            return;
+        }
+        let mut zones = ZoneRule::of(&job.spec);
+        self.count_zones(id, on, &mut zones);
+        // A controller that does not know gangs would not look after its part of one.
+        let speaks: Vec<bool> = filling
+            .rooms
+            .iter()
+            .map(|r| fleet.owners.get(&r.id).is_some_and(|(n, _)| ctx.ledger.speaks(*n)))
+            .collect();
+        let Some(chosen) = choose(ctx, job, &need, &filling.rooms, &speaks, zones, more) else {
+            self.waits.entry(id).or_insert(Waits::ForMachines);
+            return;
+        };
+        let attempt = match self.gangs.get(&id).filter(|_| held > 0) {
+            Some(gang) => gang.attempt,
+            None => self.attempts.give(),
+        };
+        let binds = ZoneRule::of(&job.spec).binds();
+        for (task, i) in free.into_iter().zip(chosen) {
+            let room = &mut filling.rooms[i];
+            room.add(&job.spec, &need);
+            let Some((node, _)) = fleet.owners.get(&room.id).copied() else { continue };
+            let zone = binds.then(|| room.zone.to_string());
+            if let Some(u) = filling.used.get_mut(team) {
+                u.0.0 += need.cores.0;
+                u.1.0 += need.accelerators.0;
+            }
+            let attempt = Some(attempt);
+            filling.grants.push((task, Granted { node, attempt, at: ctx.now, zone, seen: false }));
+        }
+    }
+
+    /// Remembers gangs that were granted just now.
+    pub(super) fn note_gang(&mut self, now: Steady, job: JobId, attempt: Attempt) {
+        let known = self.gangs.get(&job).is_some_and(|g| g.attempt == attempt);
+        if !known {
+            self.gangs.insert(job, Gang { attempt, since: now });
+        }
+    }
+
+    /// What parts are to stop.
+    pub(super) fn stops(&self) -> Vec<Stop> {
+        self.halts.values().map(|h| h.stop).collect()
+    }
+
+    /// Marks the machines that are kept for gangs which may not use spot machines: so much stays
+    /// free there, on as few machines as hold it, in one zone as far as that goes. Work that may
+    /// go elsewhere takes nothing there.
+    pub(super) fn keep_for_gangs(
+        &mut self,
+        ctx: &Context<'_>,
+        fleet: &Fleet,
+        on: &OnMachines<'_>,
+        rooms: &mut [Room],
+    ) {
+        let mut in_use: FxHashMap<&crate::model::MachineId, u64> = FxHashMap::default();
+        let mut used = 0;
+        for (t, seen) in on {
+            let Some(job) = ctx.ledger.jobs.get(&t.job) else { continue };
+            if job.spec.shape == Shape::Gang && !job.spec.loaners {
+                let cores = Need::of(&job.spec).cores.0;
+                *in_use.entry(&seen.machine.id).or_default() += cores;
+                used += cores;
+            }
+        }
+        let wanted = self.market.headroom(Cores(used).amount());
+        self.kept.clear();
+        if wanted <= 0.0 {
+            return;
+        }
+        let speaks = |r: &Room| fleet.owners.get(&r.id).is_some_and(|(n, _)| ctx.ledger.speaks(*n));
+        let offered =
+            |r: &Room| ctx.flavors.get(&*r.hull).map_or(Cores(0), |f| Cores::offer(f.vcpus));
+        let mut zones: BTreeMap<&str, u64> = BTreeMap::new();
+        for r in rooms.iter().filter(|r| r.open && !r.spot) {
+            *zones.entry(&*r.zone).or_default() += offered(r).0;
+        }
+        let first = zones.iter().max_by_key(|(_, c)| **c).map(|(z, _)| z.to_string());
+        self.market.gang_zone = first.clone();
+        let mut order: Vec<usize> = (0..rooms.len())
+            .filter(|&i| rooms[i].open && !rooms[i].spot && speaks(&rooms[i]))
+            .collect();
+        order.sort_by_key(|&i| {
+            let r = &rooms[i];
+            let near = first.as_deref() == Some(&*r.zone);
+            let mine = in_use.get(&r.id).copied().unwrap_or(0);
+            (std::cmp::Reverse((near, mine > 0, offered(r), r.free.cores)), r.id.clone())
+        });
+        let mut free = 0.0;
+        for i in order {
+            if free >= wanted {
+                break;
+            }
+            free += rooms[i].free.cores.amount();
+            rooms[i].kept = true;
+            self.kept.push(rooms[i].id.clone());
+        }
+        self.kept.sort();
+    }
+}
+
+/// Machines for a gang's tasks: in one zone if the job wants that, where all can begin first.
+fn choose(
+    ctx: &Context<'_>,
+    job: &Job,
+    need: &Need,
+    rooms: &[Room],
+    may: &[bool],
+    mut zones: ZoneRule,
+    count: usize,
+) -> Option<Vec<usize>> {
+    let names = &ctx.settings.params.zones;
+    if !zones.binds() {
+        return place::pack(&job.spec, need, rooms, may, None, count).map(|(_, chosen)| chosen);
+    }
+    if zones.one {
+        let open = zones.open(names);
+        let found =
+            open.iter().filter_map(|z| place::pack(&job.spec, need, rooms, may, Some(z), count));
+        return found.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, chosen)| chosen);
+    }
+    // Spread: so many in each zone as the rule allows, the emptiest first.
+    let mut rooms: Vec<Room> = rooms.to_vec();
+    for (room, may) in rooms.iter_mut().zip(may) {
+        room.open &= may;
+    }
+    let mut chosen = Vec::new();
+    while chosen.len() < count {
+        let open = zones.open(names);
+        let i = open.iter().find_map(|z| place::choose(&job.spec, need, &rooms, Some(z)))?;
+        rooms[i].add(&job.spec, need);
+        zones.count(&rooms[i].zone);
+        chosen.push(i);
+    }
+    Some(chosen)
+}
--- a/src/lead/record.rs
+++ b/src/lead/record.rs
@@ -20,6 +20,14 @@
 const TOMBSTONE_MS: u64 = 600_000;
 /// Time between two records of the load.
 const LOAD_MS: u64 = 8_000;
+/// Bytes of a group of machines besides those.
+const GROUP_BYTES: usize = 32;
+/// Bytes of a key of granted ranges besides those.
+const GRANTS_BYTES: usize = 64;
+/// Most ranges of a job on record.
+const MOST_SPANS: usize = 32;
+/// What tells a further key of machines from a group's own, see [`ledger::machine_group`].
+const FURTHER_GROUPS: u32 = 100_000;
 /// Keys over which granted ranges are spread by job, so that an epoch rewrites few of them.
 const GRANT_KEYS: u32 = 16;
 
@@ -28,15 +36,16 @@
     pub(super) fn compose(&mut self, ctx: &Context<'_>, epoch: &mut Epoch) {
         let ops = ctx.settings.params.state.txn_ops;
         let mut apply = Vec::new();
-        self.record_grants(ctx, epoch, &mut apply);
-        if ctx.now.since(self.machines_written) >= MACHINES_MS || !apply.is_empty() {
-            let before = apply.len();
-            self.machine_changes(ctx, ops, &mut apply);
-            if apply.len() > before {
+        let due = ctx.now.since(self.machines_written) >= MACHINES_MS || !epoch.grants.is_empty();
+        if due {
+            // Nothing starts on a machine that is not on record, so grants leave room for some.
+            self.machine_changes(ctx, MACHINE_KEYS.min(ops / 2).max(1), &mut apply);
+            if !apply.is_empty() {
                 self.machines_written = ctx.now;
             }
         }
-        if ctx.now.since(self.load_written) >= LOAD_MS && apply.len() + 1 < ops {
+        self.record_grants(ctx, epoch, ops - apply.len(), &mut apply);
+        if ctx.now.since(self.load_written) >= LOAD_MS && apply.len() < ops {
             self.load_written = ctx.now;
             apply.push(Change::Set {
                 path: ledger::LOAD_KEY.into(),
@@ -52,11 +61,17 @@
     }
 
     /// Puts granted tasks on record that are not there yet, some of each job ahead of time.
-    /// What does not fit into the transaction or a key is granted later.
-    fn record_grants(&mut self, ctx: &Context<'_>, epoch: &mut Epoch, apply: &mut Vec<Change>) {
-        let limits = &ctx.settings.params.state;
-        let fill = (limits.value_kb * 1024.0 * 0.8) as usize;
-        let most = limits.txn_ops.saturating_sub(1 + MACHINE_KEYS).max(1);
+    /// What does not fit into the transaction is granted later. A job belongs to one of the first keys
+    /// by its number, as every version has it; when that is full, or holds more than a value may
+    /// by now, it goes into a further one. All keys are read for what may be running.
+    fn record_grants(
+        &mut self,
+        ctx: &Context<'_>,
+        epoch: &mut Epoch,
+        most: usize,
+        apply: &mut Vec<Change>,
+    ) {
+        let fill = ctx.settings.params.state.value_bytes() * 4 / 5;
         let mut wider: BTreeMap<JobId, Ranges> = BTreeMap::new();
         for (t, _) in &epoch.grants {
             let known = self.recorded.get(&t.job);
@@ -70,34 +85,23 @@
             let until = (t.index + 1 + RECORD_AHEAD).min(pieces);
             ranges.extend(t.index..until);
         }
-        let mut keys: BTreeSet<u32> = BTreeSet::new();
+        // To have more on record than may run is safe, and what lies far apart has to fit.
+        for ranges in wider.values_mut().filter(|r| r.spans().len() > MOST_SPANS) {
+            *ranges = ranges.coarse(MOST_SPANS);
+        }
+        let mut keys: BTreeMap<u32, BTreeMap<JobId, Ranges>> = BTreeMap::new();
         let mut refused: FxHashSet<JobId> = FxHashSet::default();
-        for job in wider.keys() {
-            let key = grant_key(*job);
-            if !keys.contains(&key) && keys.len() >= most {
+        for (job, ranges) in &wider {
+            let key = self.key_for(ctx, &keys, *job, ranges, fill);
+            if !keys.contains_key(&key) && keys.len() >= most {
                 refused.insert(*job);
-            } else {
-                keys.insert(key);
+                continue;
             }
+            let content = keys.entry(key).or_insert_with(|| open_grants(ctx, key));
+            content.insert(*job, ranges.clone());
         }
-        for key in keys {
-            let mut granted: Vec<(JobId, Ranges)> = Vec::new();
-            let mut size = 64;
-            let known = self.recorded.iter().filter(|(job, _)| !wider.contains_key(job));
-            let all = known.chain(wider.iter()).filter(|(job, _)| grant_key(**job) == key);
-            for (job, ranges) in all {
-                size += 24 + ranges.spans().len() * 12;
-                let is_new = wider.contains_key(job);
-                if size > fill && is_new {
-                    refused.insert(*job);
-                    if let Some(old) = self.recorded.get(job) {
-                        granted.push((*job, old.clone()));
-                    }
-                    continue;
-                }
-                granted.push((*job, ranges.clone()));
-            }
-            let record = EpochRecord { term: self.term, granted };
+        for (key, content) in keys {
+            let record = EpochRecord { term: self.term, granted: content.into_iter().collect() };
             apply.push(Change::Set {
                 path: ledger::epoch_key(key),
                 value: wire::to_value(&record),
@@ -107,9 +111,17 @@
         if !refused.is_empty() {
             tracing::info!(jobs = refused.len(), "grants wait for room in the record");
             let known = &self.recorded;
-            epoch.grants.retain(|(t, _)| {
-                !refused.contains(&t.job) || known.get(&t.job).is_some_and(|r| r.contains(t.index))
-            });
+            let waits = |t: &TaskId| {
+                refused.contains(&t.job) && known.get(&t.job).is_none_or(|r| !r.contains(t.index))
+            };
+            // A gang is granted whole or not at all.
+            let gangs: FxHashSet<JobId> = epoch
+                .grants
+                .iter()
+                .filter(|(t, g)| g.attempt.is_some() && waits(t))
+                .map(|(t, _)| t.job)
+                .collect();
+            epoch.grants.retain(|(t, _)| !waits(t) && !gangs.contains(&t.job));
         }
         let granting: FxHashSet<TaskId> = epoch.grants.iter().map(|g| g.0).collect();
         for (job, ranges) in wider.into_iter().filter(|(job, _)| !refused.contains(job)) {
@@ -121,59 +133,151 @@
         }
     }
 
+    /// The key that takes a job's ranges: the one that has it, else its own, else the first further
+    /// one with room. `open` is what this epoch writes already.
+    fn key_for(
+        &self,
+        ctx: &Context<'_>,
+        open: &BTreeMap<u32, BTreeMap<JobId, Ranges>>,
+        job: JobId,
+        ranges: &Ranges,
+        fill: usize,
+    ) -> u32 {
+        let fits = |key: u32| {
+            let stored = match open.get(&key) {
+                Some(content) => content,
+                None => &open_grants(ctx, key),
+            };
+            let others = stored.iter().filter(|(j, _)| **j != job).map(|(_, r)| grant_bytes(r));
+            GRANTS_BYTES + others.sum::<usize>() + grant_bytes(ranges) <= fill
+        };
+        let own = grant_key(job);
+        let holds =
+            ctx.ledger.epochs.iter().filter(|(_, (r, _))| r.granted.iter().any(|(j, _)| *j == job));
+        let first = holds.map(|(key, _)| *key).chain([own]).find(|key| fits(*key));
+        first.or_else(|| (GRANT_KEYS..10_000).find(|key| fits(*key))).unwrap_or(own)
+    }
+
     /// Machines become durable before anything can start on them, and stay as tombstones for
     /// a while once they are gone. They are written in groups.
-    fn machine_changes(&self, ctx: &Context<'_>, ops: usize, apply: &mut Vec<Change>) {
-        let known = &ctx.ledger.machines;
-        let mut groups: BTreeSet<u32> = BTreeSet::new();
-        let mut note = |id: &MachineId| {
-            if groups.len() < MACHINE_KEYS {
-                groups.insert(ledger::machine_group(id));
-            }
-        };
-        let up = |m: &crate::fleet::FleetMachine, id: &MachineId| {
+    fn machine_changes(&self, ctx: &Context<'_>, most: usize, apply: &mut Vec<Change>) {
+        let ledger = ctx.ledger;
+        let known = &ledger.machines;
+        let limit = ctx.settings.params.state.value_bytes();
+        let fleet = &self.fleet;
+        let new = |id: &MachineId, m: &crate::fleet::FleetMachine| {
             m.up && known.get(id).is_none_or(|k| !k.up && k.gone.is_none())
         };
-        let fleet = &self.fleet;
-        fleet.machines.iter().filter(|(id, m)| up(m, id)).for_each(|(id, _)| note(id));
         let died = |id: &MachineId, m: &MachineRecord| m.gone.is_none() && fleet.gone.contains(id);
         let over = |m: &MachineRecord| {
             m.gone.is_some_and(|at| ctx.wall.0.saturating_sub(at.0) > TOMBSTONE_MS)
         };
-        known.iter().filter(|(id, m)| died(id, m) || over(m)).for_each(|(id, _)| note(id));
+        let mut groups: BTreeSet<u32> = BTreeSet::new();
+        for (id, _) in fleet.machines.iter().filter(|(id, m)| new(id, m)) {
+            let homes = ledger.homes(id);
+            groups.extend(homes.first().copied().or_else(|| Some(ledger::machine_group(id))));
+        }
+        for (id, _) in known.iter().filter(|(id, m)| died(id, m) || over(m)) {
+            groups.extend(ledger.homes(id));
+        }
+        let mut further: BTreeMap<u32, Vec<(MachineId, MachineRecord)>> = BTreeMap::new();
+        let mut written = 0;
         for group in groups {
-            if apply.len() + 1 >= ops {
-                return;
+            if written + further.len() >= most {
+                break;
             }
             let mut machines: BTreeMap<MachineId, MachineRecord> = BTreeMap::new();
-            for (id, m) in
-                known.iter().filter(|(id, m)| ledger::machine_group(id) == group && !over(m))
+            for (id, m) in ledger.group(group) {
+                let m = known.get(id).unwrap_or(m);
+                if m.gone.is_some() || died(id, m) {
+                    if !over(m) {
+                        machines.insert(id.clone(), m.tombstone(ctx.wall));
+                    }
+                } else {
+                    machines.insert(id.clone(), m.clone());
+                }
+            }
+            for (id, m) in fleet.machines.iter().filter(|(id, m)| new(id, m)) {
+                let home = ledger.homes(id).first().copied();
+                if home.unwrap_or_else(|| ledger::machine_group(id)) == group {
+                    machines.insert(id.clone(), record_of(m));
+                }
+            }
+            // What does not fit moves to a further key. It is written behind this one, so that
+            // whoever follows both never lacks a machine in between.
+            let mut machines: Vec<_> = machines.into_iter().collect();
+            let mut moved = Vec::new();
+            let mut size = group_bytes(&machines);
+            while size > limit
+                && machines.len() > 1
+                && let Some(last) = machines.pop()
             {
-                let gone = m.gone.or_else(|| died(id, m).then_some(ctx.wall));
-                machines.insert(id.clone(), MachineRecord { gone, ..m.clone() });
+                size -= wire::stored_bytes(&last) + 1;
+                moved.push(last);
             }
-            for (id, m) in &fleet.machines {
-                if ledger::machine_group(id) == group && up(m, id) {
-                    let record = MachineRecord {
-                        hull: m.offer.hull.clone(),
-                        zone: m.offer.zone.clone(),
-                        spot: m.offer.spot,
-                        up: true,
-                        gone: None,
-                        endpoint: m.endpoint.to_string(),
-                    };
-                    machines.insert(id.clone(), record);
+            let mut room_for_all = true;
+            for entry in moved {
+                let full = |key: u32| {
+                    let stored = further.get(&key).map_or(ledger.group(key), Vec::as_slice);
+                    group_bytes(stored) + group_bytes(std::slice::from_ref(&entry)) > limit
+                };
+                let key = (1..)
+                    .map(|n| group % FURTHER_GROUPS + n * FURTHER_GROUPS)
+                    .find(|k| *k != group && !full(*k));
+                let Some(key) = key else { continue };
+                if !further.contains_key(&key) && written + 1 + further.len() >= most.max(2) {
+                    room_for_all = false;
+                    break;
                 }
+                let content = further.entry(key).or_insert_with(|| ledger.group(key).to_vec());
+                content.retain(|(id, _)| *id != entry.0);
+                content.push(entry);
+            }
+            if !room_for_all {
+                break; // With the next epoch.
             }
             // An empty group stays: the version of its key tells late writes from new ones.
-            let path = ledger::machine_key(group);
-            let machines = machines.into_iter().collect();
-            let value = wire::to_value(&MachineGroup { machines });
-            apply.push(Change::Set { path, value, lease: None });
+            apply.push(group_change(group, machines));
+            written += 1;
         }
+        apply.extend(further.into_iter().map(|(group, machines)| group_change(group, machines)));
+    }
+}
+
+fn record_of(m: &crate::fleet::FleetMachine) -> MachineRecord {
+    MachineRecord {
+        hull: m.offer.hull.clone(),
+        zone: m.offer.zone.clone(),
+        spot: m.offer.spot,
+        up: true,
+        gone: None,
+        endpoint: m.endpoint.to_string(),
     }
 }
 
+fn group_change(group: u32, machines: Vec<(MachineId, MachineRecord)>) -> Change {
+    let value = wire::to_value(&MachineGroup { machines });
+    Change::Set { path: ledger::machine_key(group), value, lease: None }
+}
+
+/// Bytes that a group takes as a value.
+fn group_bytes(machines: &[(MachineId, MachineRecord)]) -> usize {
+    let each = machines.iter().map(|m| wire::stored_bytes(m) + 1);
+    GROUP_BYTES + each.sum::<usize>()
+}
+
+/// What a key of granted ranges holds of jobs that have not ended.
+fn open_grants(ctx: &Context<'_>, key: u32) -> BTreeMap<JobId, Ranges> {
+    let stored = ctx.ledger.epochs.get(&key).map(|(r, _)| &r.granted);
+    let open = stored.into_iter().flatten().filter(|(j, _)| ctx.ledger.jobs.contains_key(j));
+    open.cloned().collect()
+}
+
+/// Bytes that a job's granted ranges take at most.
+fn grant_bytes(ranges: &Ranges) -> usize {
+    24 + ranges.spans().len() * 16
+}
+
 /// The key that holds a job's granted ranges.
 fn grant_key(job: JobId) -> u32 {
     (job.0 % u64::from(GRANT_KEYS)) as u32
--- a/src/lead/tests.rs
+++ b/src/lead/tests.rs
@@ -90,6 +90,7 @@
         failing: vec![],
         reborn: vec![],
         finished: vec![],
+        notices: vec![],
     };
     core.take_summary(Steady(ms), summary);
     let (epoch, term) = core.epoch(at(ms)).unwrap();
@@ -131,6 +132,7 @@
         failing: vec![],
         reborn: vec![],
         finished: vec![],
+        notices: vec![],
     }
 }
 
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -14,7 +14,7 @@
 
 use crate::capacity::Load;
 use crate::model::{Incarnation, JobId, MachineId, NodeId, Ranges, Revision, TaskId, Term, Wall};
-use crate::place::Need;
+use crate::place::{Flavors, Need};
 use crate::wire::{self, Changes, Guard, Item, JobSpec, JobStage, Value};
 
 /// How many ended jobs are kept in memory; older ones are read from the store when asked for.
@@ -60,8 +60,18 @@
 pub struct MemberRecord {
     /// The life of its process.
     pub life: Incarnation,
+    /// Its program's version; empty for those before 0.2.
+    #[serde(default)]
+    pub version: String,
+    /// What it understands, see [`SPEAKS`]; 0 for the version before gangs.
+    #[serde(default)]
+    pub speaks: u32,
 }
 
+/// What this version understands. 1: gangs, that is [`crate::peer::Stop`], waiting tasks, and that a
+/// gang is done as a whole.
+pub const SPEAKS: u32 = 1;
+
 /// A machine that tasks may be on.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MachineRecord {
@@ -77,13 +87,26 @@
     pub up: bool,
     /// Set once it is proven gone; the key stays for a while so that late reports are known
     /// for what they are.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub gone: Option<Wall>,
     /// Where its worker listens, for controllers that it never reported to.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "String::is_empty")]
     pub endpoint: String,
 }
 
+impl MachineRecord {
+    /// What is kept of it once it is gone: that it is.
+    pub fn tombstone(&self, at: Wall) -> Self {
+        MachineRecord {
+            hull: String::new(),
+            zone: String::new(),
+            endpoint: String::new(),
+            gone: Some(self.gone.unwrap_or(at)),
+            ..*self
+        }
+    }
+}
+
 /// Machines that are written together.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct MachineGroup {
@@ -179,7 +202,10 @@
     pub term_stamp: Revision,
     /// Machines that tasks may be on, and those lately gone.
     pub machines: BTreeMap<MachineId, MachineRecord>,
-    groups: BTreeMap<u32, (Vec<MachineId>, Revision)>,
+    groups: BTreeMap<u32, (MachineGroup, Revision)>,
+    /// The keys that name a machine: one, or more where a version of the program with larger values
+    /// wrote it again beside a further key.
+    homes: HashMap<MachineId, Vec<u32>>,
     /// Jobs cancelled last.
     pub withdrawn: BTreeMap<JobId, Withdrawn>,
     withdrawn_order: VecDeque<JobId>,
@@ -191,6 +217,8 @@
     pub load: Option<(Load, Revision)>,
     /// Machine types, as the last leader that asked the cloud wrote them.
     pub flavors: Option<(wire::Flavors, Revision)>,
+    /// Those that did not fit into the first value.
+    more_flavors: BTreeMap<u32, wire::Flavors>,
     /// Messages for this node, by sender and part.
     pub relay: BTreeMap<(u8, u32), (String, Revision)>,
 }
@@ -235,6 +263,41 @@
 /// The term's key.
 pub const TERM_KEY: &str = "term";
 
+/// Machine types as values of up to so many bytes; the first key is the one that all versions read.
+pub fn flavor_pieces(flavors: &wire::Flavors, bytes: usize) -> Vec<wire::Change> {
+    let mut pieces: Vec<wire::Flavors> = vec![wire::Flavors { hulls: Vec::new() }];
+    for flavor in &flavors.hulls {
+        if let Some(last) = pieces.last_mut() {
+            last.hulls.push(flavor.clone());
+            if last.hulls.len() > 1 && wire::stored_bytes(last) > bytes {
+                let next = last.hulls.pop();
+                pieces.push(wire::Flavors { hulls: next.into_iter().collect() });
+            }
+        }
+    }
+    let key = |n: usize| match n {
+        0 => FLAVORS_KEY.to_string(),
+        _ => format!("{FLAVORS_KEY}/{n:04}"),
+    };
+    let set =
+        |(n, piece)| wire::Change::Set { path: key(n), value: wire::to_value(&piece), lease: None };
+    pieces.into_iter().enumerate().map(set).collect()
+}
+
+/// A job's description as it is kept: if it is too large for a value, without the machine types that
+/// there are none of. They are the only part without a bound, and the job is none the wider.
+pub fn kept_spec(spec: &JobSpec, flavors: &Flavors, bytes: usize) -> JobSpec {
+    let mut kept = spec.clone();
+    if wire::stored_bytes(&Accepted { spec: kept.clone(), at: Wall(u64::MAX) }) > bytes
+        && let Some(hulls) = &mut kept.hulls
+    {
+        hulls.retain(|h| flavors.contains_key(h));
+        hulls.sort();
+        hulls.dedup();
+    }
+    kept
+}
+
 impl Ledger {
     /// An empty replica for that node.
     pub fn new(me: NodeId) -> Self {
@@ -330,6 +393,11 @@
                     self.epochs.insert(n, (r, stamp));
                 }
             }
+            "flavors" => {
+                if let (Ok(n), Some(f)) = (rest.parse(), wire::from_value(value)) {
+                    self.more_flavors.insert(n, f);
+                }
+            }
             "x" => {
                 if let Some((from, part)) = self.relay_part(rest)
                     && let Some(text) = value.as_text()
@@ -347,13 +415,53 @@
         if self.groups.get(&group).is_some_and(|g| g.1 >= stamp) {
             return;
         }
-        let ids = record.machines.iter().map(|(id, _)| id.clone()).collect();
-        if let Some((old, _)) = self.groups.insert(group, (ids, stamp)) {
-            for id in old {
+        let mut ids: Vec<MachineId> = record.machines.iter().map(|(id, _)| id.clone()).collect();
+        for id in &ids {
+            let homes = self.homes.entry(id.clone()).or_default();
+            if !homes.contains(&group) {
+                homes.push(group);
+            }
+        }
+        if let Some((old, _)) = self.groups.insert(group, (record, stamp)) {
+            for (id, _) in old.machines {
+                if !ids.contains(&id)
+                    && let Some(homes) = self.homes.get_mut(&id)
+                {
+                    homes.retain(|g| *g != group);
+                    ids.push(id);
+                }
+            }
+        }
+        for id in ids {
+            self.merge_machine(id);
+        }
+    }
+
+    /// Takes what all keys tell of a machine. That it is gone stays true; a key that does not know it
+    /// yet was written before.
+    fn merge_machine(&mut self, id: MachineId) {
+        let homes = self.homes.get(&id).map_or(&[][..], Vec::as_slice);
+        let groups = homes.iter().filter_map(|g| self.groups.get(g));
+        let told = groups.flat_map(|(g, _)| &g.machines).filter(|(i, _)| *i == id).map(|(_, r)| r);
+        match told.max_by_key(|r| (r.gone.is_some(), r.up)).cloned() {
+            Some(record) => {
+                self.machines.insert(id, record);
+            }
+            None => {
+                self.homes.remove(&id);
                 self.machines.remove(&id);
             }
         }
-        self.machines.extend(record.machines);
+    }
+
+    /// The machines in a group's key, as the store has them.
+    pub fn group(&self, group: u32) -> &[(MachineId, MachineRecord)] {
+        self.groups.get(&group).map_or(&[], |g| &g.0.machines)
+    }
+
+    /// The groups that name a machine.
+    pub fn homes(&self, id: &MachineId) -> &[u32] {
+        self.homes.get(id).map_or(&[], Vec::as_slice)
     }
 
     fn remember_withdrawn(&mut self, spec: &JobSpec, done: u32) {
@@ -469,6 +577,18 @@
         }
     }
 
+    /// All machine types on record.
+    pub fn all_flavors(&self) -> Option<wire::Flavors> {
+        let (first, _) = self.flavors.as_ref()?;
+        let more = self.more_flavors.values().flat_map(|f| &f.hulls);
+        Some(wire::Flavors { hulls: first.hulls.iter().chain(more).cloned().collect() })
+    }
+
+    /// Whether a controller that is up understands as much as this one.
+    pub fn speaks(&self, node: NodeId) -> bool {
+        self.members.get(&node).is_some_and(|(m, _)| m.speaks >= SPEAKS)
+    }
+
     /// Whether a task may be started as far as its job is concerned.
     pub fn may_run(&self, task: TaskId) -> bool {
         self.jobs
@@ -524,12 +644,30 @@
         tasks
     }
 
-    /// Adds finished tasks to a job's progress: the new value, or `None` if nothing changes.
-    pub fn with_done(job: &Job, tasks: impl IntoIterator<Item = u32>) -> Option<Progress> {
-        let mut progress = job.progress.clone();
+    /// Adds finished tasks to a job's progress: the new value, or `None` if nothing changes. What
+    /// does not fit into `bytes` yet, as the tasks lie too far apart, is left for later: its workers
+    /// keep it until then, and a task that completed once completes at once if it is started again.
+    pub fn with_done(
+        job: &Job,
+        tasks: impl IntoIterator<Item = u32>,
+        bytes: usize,
+    ) -> Option<Progress> {
+        let mut progress = Progress { done: job.progress.done.fitting(bytes), ..job.progress };
+        let most = Ranges::spans_in(bytes);
         let mut any = false;
+        let mut apart = Vec::new();
         for index in tasks {
-            any |= index < job.spec.pieces && progress.done.insert(index);
+            if index >= job.spec.pieces {
+            } else if progress.done.spans().len() < most || progress.done.touches(index) {
+                any |= progress.done.insert(index);
+            } else {
+                apart.push(index);
+            }
+        }
+        for index in apart {
+            if progress.done.spans().len() < most || progress.done.touches(index) {
+                any |= progress.done.insert(index);
+            }
         }
         if !any {
             return None;
@@ -601,9 +739,9 @@
         let job = &l.jobs[&JobId(7)];
         assert!(job.is_done(0) && !job.is_done(1));
         assert_eq!(job.progress_stamp, Revision(5));
-        let end = Ledger::with_done(job, [1, 1, 99]).unwrap();
+        let end = Ledger::with_done(job, [1, 1, 99], 2_048).unwrap();
         assert_eq!(end.end, Some(JobStage::Done));
-        assert!(Ledger::with_done(job, [0]).is_none());
+        assert!(Ledger::with_done(job, [0], 2_048).is_none());
         l.load(&item(progress_key(JobId(7)), wire::to_value(&end), 6), &mut b);
         assert_eq!(l.ended[&JobId(7)], (JobStage::Done, 2));
         // An ended job stays ended whatever is read later.
--- a/src/model.rs
+++ b/src/model.rs
@@ -235,6 +235,39 @@
         self.0.insert(i, (n, n + 1));
         true
     }
+    /// Whether a number is in the set or next to one that is.
+    pub fn touches(&self, n: u32) -> bool {
+        let i = self.0.partition_point(|r| r.1 < n);
+        self.0.get(i).is_some_and(|r| r.0 <= n.saturating_add(1))
+    }
+    /// How many ranges fit into so many bytes of a value, whatever their numbers are.
+    pub fn spans_in(bytes: usize) -> usize {
+        (bytes.saturating_sub(64) / 16).max(1)
+    }
+    /// The set, or its largest ranges if it does not fit into so many bytes.
+    pub fn fitting(&self, bytes: usize) -> Ranges {
+        let most = Ranges::spans_in(bytes);
+        if self.0.len() <= most {
+            return self.clone();
+        }
+        let mut spans = self.0.clone();
+        spans.sort_by_key(|r| std::cmp::Reverse(r.1 - r.0));
+        spans.truncate(most);
+        spans.sort_unstable();
+        Ranges(spans)
+    }
+    /// A set of at most so many ranges that contains this one.
+    pub fn coarse(&self, most: usize) -> Ranges {
+        let mut spans = self.0.clone();
+        while spans.len() > most.max(1) {
+            // The smallest gap is closed first.
+            let gap = |i: &usize| spans[i + 1].0 - spans[*i].1;
+            let Some(i) = (0..spans.len() - 1).min_by_key(gap) else { break };
+            spans[i].1 = spans[i + 1].1;
+            spans.remove(i + 1);
+        }
+        Ranges(spans)
+    }
     /// Adds numbers.
     pub fn extend(&mut self, numbers: impl Iterator<Item = u32>) {
         for n in numbers {
--- a/src/part.rs
+++ b/src/part.rs
@@ -17,7 +17,7 @@
 use crate::peer::{Grant, MachineView, Plan, PlanBody, Stray, Summary, TaskView};
 use crate::place::{self, Flavors, Need, Room};
 use crate::term::Attempts;
-use crate::wire::{Cause, JobStage, Order, Piece, PieceStage, Report, ReportReply, Urgency};
+use crate::wire::{Cause, JobStage, Order, Piece, PieceStage, Report, ReportReply, Shape, Urgency};
 
 mod machine;
 
@@ -123,7 +123,7 @@
 }
 
 /// A machine that is to be asked or told something straight away.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Announcement {
     /// The machine.
     pub machine: MachineId,
@@ -136,6 +136,8 @@
     /// The newest report known when this goes out, if an older one came since: a worker that
     /// answers with nothing newer counts from the start again.
     pub doubted: Option<(Session, u64)>,
+    /// What it is to do. Only kills: a start could run late.
+    pub orders: Vec<Order>,
 }
 
 /// Errors of a job's tasks, to tell a faulty job from a faulty machine.
@@ -189,6 +191,8 @@
     /// Machines of which an old report came: when they were asked, and whom to ask still.
     doubted: HashMap<MachineId, Steady>,
     doubts: Vec<(MachineId, Session)>,
+    /// Machines that are to be told straight away to stop a gang's tasks.
+    stopping: BTreeSet<MachineId>,
     /// Machines that were restarted and count from the start again.
     reborn: BTreeSet<MachineId>,
     unheeded: HashMap<MachineId, Unheeded>,
@@ -238,6 +242,7 @@
             announcing: false,
             doubted: HashMap::new(),
             doubts: Vec::new(),
+            stopping: BTreeSet::new(),
             reborn: BTreeSet::new(),
             unheeded: HashMap::new(),
             answered: BTreeMap::new(),
@@ -276,6 +281,9 @@
         self.clock_ms = 0;
         self.body.grants.clear();
         self.body.drain.clear();
+        self.body.stops.clear();
+        self.body.kept.clear();
+        self.stopping.clear();
         self.gangs.clear();
         self.spent.clear();
         self.drained.clear();
@@ -331,9 +339,19 @@
                 m.tasks.clear();
             }
         }
+        let told = |s: &crate::peer::Stop| self.body.stops.contains(s);
+        let stopping = body.stops.iter().any(|s| !told(s));
         self.drained = body.drain.iter().cloned().collect();
         self.gangs = body.grants.iter().filter_map(|g| g.attempt).collect();
         self.body = body;
+        if stopping {
+            // Its tasks are told straight away, and in the answers to their reports.
+            let on = self.machines.iter();
+            let on =
+                on.filter(|(_, m)| m.tasks.iter().any(|(t, h)| self.stop(*t, h.attempt).is_some()));
+            let ids: Vec<MachineId> = on.map(|(id, _)| id.clone()).collect();
+            self.stopping.extend(ids);
+        }
         self.seq = plan.seq;
         self.clock_ms = plan.clock_ms;
         self.assign = true;
@@ -439,9 +457,19 @@
         {
             if let Some(newest) = self.latest.get(&machine) {
                 let (endpoint, doubted) = (newest.endpoint.clone(), Some(newest.order));
-                out.push(Announcement { machine, endpoint, term: self.term, session, doubted });
+                let (term, orders) = (self.term, Vec::new());
+                out.push(Announcement { machine, endpoint, term, session, doubted, orders });
             }
         }
+        while out.len() < most
+            && let Some(machine) = self.stopping.pop_first()
+        {
+            let Some(m) = self.machines.get(&machine).filter(|m| m.settled) else { continue };
+            let on = m.tasks.iter().filter_map(|(t, h)| self.stop(*t, h.attempt));
+            let (orders, endpoint, session) = (on.collect(), m.endpoint.clone(), m.session);
+            let (term, doubted) = (self.term, None);
+            out.push(Announcement { machine, endpoint, term, session, doubted, orders });
+        }
         if !self.announcing || self.seq == PlanSeq(0) {
             return out;
         }
@@ -463,7 +491,8 @@
             if due && out.len() < most {
                 self.announced.insert(id.clone(), (tries + 1, now));
                 let (machine, term) = (id.clone(), self.term);
-                out.push(Announcement { machine, endpoint, term, session, doubted: None });
+                let (doubted, orders) = (None, Vec::new());
+                out.push(Announcement { machine, endpoint, term, session, doubted, orders });
             }
         }
         self.announcing = open;
@@ -594,10 +623,31 @@
         self.answered.insert(report.host.clone(), now);
         ReportAnswer::Take(ReportReply {
             baton: self.term,
-            orders: kills(env.ledger, &report.pieces),
+            orders: self.kills(env.ledger, &report.pieces),
         })
     }
 
+    /// Kills for what is to end on a machine: tasks whose job was cancelled, or that are durably done
+    /// already, and gangs that are being stopped.
+    fn kills(&self, ledger: &Ledger, pieces: &[Piece]) -> Vec<Order> {
+        let mut orders = kills(ledger, pieces);
+        if !self.body.stops.is_empty() {
+            let on = pieces.iter().filter(|p| p.stage != PieceStage::Ended);
+            let stopped = on.filter(|p| !orders.iter().any(|o| o.piece() == p.piece));
+            let more: Vec<Order> = stopped.filter_map(|p| self.stop(p.piece, p.r#try)).collect();
+            orders.extend(more);
+        }
+        orders
+    }
+
+    /// The kill for a gang's task whose attempt is being stopped.
+    fn stop(&self, piece: TaskId, attempt: Attempt) -> Option<Order> {
+        let of = |s: &&crate::peer::Stop| s.job == piece.job.0 && attempt < s.before;
+        let stop = self.body.stops.iter().find(of)?;
+        let leeway_s = stop.leeway_ms as f64 / 1000.0;
+        Some(Order::Kill { piece, r#try: attempt, leeway_s })
+    }
+
     fn note_finished(&mut self, now: Steady, ledger: &Ledger, report: &Report) {
         for p in &report.pieces {
             if p.stage == PieceStage::Ended && p.cause == Some(Cause::Done) {
@@ -606,13 +656,22 @@
         }
     }
 
-    fn note_done(&mut self, now: Steady, ledger: &Ledger, task: TaskId) {
-        if ledger.may_run(task) {
-            let f = self
-                .finished
-                .entry(task.job)
-                .or_insert_with(|| Finished { tasks: Ranges::default(), since: now });
+    /// Notes a task that completed; if it is of a gang, all of its tasks did.
+    pub fn note_done(&mut self, now: Steady, ledger: &Ledger, task: TaskId) {
+        let Some(job) = ledger.jobs.get(&task.job) else { return };
+        let gang = job.spec.shape == Shape::Gang;
+        if !gang && !ledger.may_run(task) || task.index >= job.spec.pieces {
+            return;
+        }
+        let f = self
+            .finished
+            .entry(task.job)
+            .or_insert_with(|| Finished { tasks: Ranges::default(), since: now });
+        if !gang {
             self.news |= f.tasks.insert(task.index);
+        } else if f.tasks.len() < job.spec.pieces {
+            f.tasks = Ranges::span(0, job.spec.pieces);
+            self.news = true;
         }
     }
 
@@ -634,6 +693,7 @@
             self.machines.entry(report.host.clone()).or_insert_with(|| Machine::new(report, now));
         let settled = report.baton == self.term;
         let warned = report.warning_s.is_some();
+        machine.leaves = report.warning_s.map(|s| now.plus((s.max(0.0) * 1000.0) as u64));
         let shunned = machine.shun_until;
         let state = (report.tenure, settled, warned);
         let turned = state != (machine.session, machine.settled, machine.warned);
@@ -651,7 +711,10 @@
         // A start that was lost, or a task that failed, has to go somewhere else.
         self.assign |= left.iter().any(|t| self.may_start(env.ledger, *t));
         if !self.gangs.is_empty() {
-            let shown = report.pieces.iter().map(|p| (p.piece, p.r#try));
+            // A refused start never ran, and may be tried elsewhere.
+            let refused =
+                |p: &Piece| matches!(p.cause, Some(Cause::NoRoom | Cause::InUse | Cause::Unknown));
+            let shown = report.pieces.iter().filter(|p| !refused(p)).map(|p| (p.piece, p.r#try));
             self.spent.extend(shown.filter(|p| self.gangs.contains(&p.1)));
         }
         freed
@@ -660,7 +723,7 @@
     fn on_own_report(&mut self, env: &Surroundings<'_>, report: &Report) -> ReportAnswer {
         let now = env.now;
         let freed = self.take_state(env, report);
-        let mut orders = kills(env.ledger, &report.pieces);
+        let mut orders = self.kills(env.ledger, &report.pieces);
         self.clear_ended(env, report, &mut orders);
         self.start_granted(env, &report.host, freed, &mut orders);
         self.answered.insert(report.host.clone(), now);
@@ -745,6 +808,7 @@
         let Some(mut room) = machine.room(id, env, !self.drained.contains(id)) else {
             return;
         };
+        room.kept = self.body.kept.binary_search(id).is_ok();
         for q in queue {
             let Some(job) = env.ledger.jobs.get(&q.task.job) else {
                 continue;
@@ -815,6 +879,7 @@
             .filter_map(|(id, m)| {
                 let mut room = m.room(id, env, !self.drained.contains(id))?;
                 room.slow = self.body.slow.contains(id);
+                room.kept = self.body.kept.binary_search(id).is_ok();
                 room.delay_s = env.pace.delay_s(env.now.since(m.heard));
                 Some(room).filter(|r| r.open)
             })
@@ -824,7 +889,10 @@
             let Some(job) = env.ledger.jobs.get(&grant.job()) else { continue };
             let need = Need::of(&job.spec);
             let zone = grant.zone.as_deref();
-            let chosen = place::spread(&job.spec, &need, &mut rooms, zone, tasks.len());
+            let chosen = match grant.attempt {
+                Some(_) => place::pack_in(&job.spec, &need, &mut rooms, zone, tasks.len()),
+                None => place::spread(&job.spec, &need, &mut rooms, zone, tasks.len()),
+            };
             self.unplaced |= chosen.len() < tasks.len();
             let queued = tasks.into_iter().zip(chosen);
             queues.extend(
@@ -904,6 +972,11 @@
             strays,
             finished: self.finished.iter().map(|(j, f)| (j.0, f.tasks.clone())).collect(),
             reborn: self.reborn.iter().cloned().collect(),
+            notices: self
+                .machines
+                .iter()
+                .filter_map(|(id, m)| Some((id.clone(), m.leaves?.since(now))))
+                .collect(),
             failing: self.faults.keys().filter(|j| self.failing(**j)).map(|j| j.0).collect(),
         }
     }
--- a/src/part/machine.rs
+++ b/src/part/machine.rs
@@ -34,6 +34,8 @@
     pub(super) settled: bool,
     pub(super) heard: Steady,
     pub(super) warned: bool,
+    /// When the cloud takes it, if it gave notice.
+    pub(super) leaves: Option<Steady>,
     pub(super) tasks: BTreeMap<TaskId, Held>,
     pub(super) images: Vec<(Rc<str>, f64)>,
     pub(super) faults: u32,
@@ -56,6 +58,7 @@
             settled: false,
             heard: now,
             warned: false,
+            leaves: None,
             tasks: BTreeMap::new(),
             images: Vec::new(),
             faults: 0,
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -105,6 +105,7 @@
         term: TERM,
         session: Session(1),
         doubted: None,
+        orders: vec![],
     };
     // (tenure, tally, token, whether it is settled then); the session was not known at first.
     for (tenure, tally, baton, settled) in [(2, 6, 2, false), (2, 6, 3, false), (2, 7, 3, true)] {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,8 +1,17 @@
 //! Messages between controllers: part summaries to the leader, plans back, and requests
 //! handed over to a controller that can reach the store. Encoded with `rmp-serde`.
+//!
+//! Controllers of two versions understand each other by one rule: messages are maps by field
+//! name, so what a reader does not know it ignores, and a field that came later has a default.
+//! What comes in numbers ([`MachineView`], [`Stray`], [`Grant`], [`Standing`], [`TaskView`]) is
+//! written as a list of its first fields and never grows; what is to be told besides gets a field in
+//! the message around it. No enum gets a variant that a version without it has to read. The
+//! version before this rule wrote lists throughout, which are read as well.
 
 use std::rc::Rc;
 
+use serde::ser::{SerializeTuple, Serializer};
+
 use serde::{Deserialize, Serialize};
 
 use crate::ledger::LeadRecord;
@@ -22,14 +31,34 @@
 }
 
 /// Stages by their number in messages between controllers.
-const STAGES: [PieceStage; 5] = [
+///
+/// The version before gangs reads the last one as `Unknown`: on its machine, not shown yet.
+const STAGES: [PieceStage; 6] = [
     PieceStage::Unknown,
     PieceStage::Fetching,
     PieceStage::Running,
     PieceStage::Flushing,
     PieceStage::Ended,
+    PieceStage::Waiting,
 ];
 
+/// Writes a struct as the list of these fields, in this order.
+macro_rules! as_list {
+    ($name:ident, $count:literal: $($field:ident),*) => {
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+                let mut list = s.serialize_tuple($count)?;
+                $(list.serialize_element(&self.$field)?;)*
+                list.end()
+            }
+        }
+    };
+}
+as_list!(MachineView, 11: id, hull, zone, spot, endpoint, settled, session, leaving, shun_ms, tasks, images);
+as_list!(Stray, 6: id, hull, zone, spot, silent_ms, since_ms);
+as_list!(Grant, 4: job, tasks, zone, attempt);
+as_list!(Standing, 3: job, running, waits);
+
 impl From<TaskView> for (u64, u32, u8) {
     fn from(t: TaskView) -> Self {
         let stage = STAGES.iter().position(|s| *s == t.stage).unwrap_or(0);
@@ -45,7 +74,7 @@
 }
 
 /// A machine as its owner knows it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct MachineView {
     /// The machine.
     pub id: MachineId,
@@ -74,7 +103,7 @@
 }
 
 /// A machine that reports to a node that does not own it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct Stray {
     /// The machine.
     pub id: MachineId,
@@ -128,10 +157,13 @@
     pub failing: Vec<u64>,
     /// Tasks that completed and are not known to be on record yet.
     pub finished: Vec<(u64, Ranges)>,
+    /// Machines of its part that the cloud is about to take, and in how many milliseconds.
+    #[serde(default)]
+    pub notices: Vec<(MachineId, u64)>,
 }
 
 /// Task ranges that a part may start.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct Grant {
     /// The job's number.
     pub job: u64,
@@ -168,7 +200,7 @@
 }
 
 /// How a job stands, for answers to users.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 pub struct Standing {
     /// The job's number.
     pub job: u64,
@@ -221,6 +253,24 @@
     pub lapsed: Vec<(MachineId, Session)>,
     /// How jobs stand.
     pub standings: Vec<Standing>,
+    /// Gangs that are to be stopped wherever their tasks are.
+    #[serde(default)]
+    pub stops: Vec<Stop>,
+    /// Machines that are kept for work which may not use spot machines.
+    #[serde(default)]
+    pub kept: Vec<MachineId>,
+}
+
+/// A gang that is to be stopped. It can be told any number of times, and late: what
+/// starts afterwards has another attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Stop {
+    /// The job's number.
+    pub job: u64,
+    /// Attempts below this one are stopped.
+    pub before: Attempt,
+    /// Milliseconds that each task has to save; 0 to end at once.
+    pub leeway_ms: u64,
 }
 
 /// A request between controllers.
@@ -261,7 +311,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Relayed {
     /// A part's summary to the leader.
-    Summary(Summary),
+    Summary(Box<Summary>),
     /// The leader's answer.
     Tell(Tell),
 }
@@ -269,7 +319,7 @@
 /// Encodes a message.
 pub fn encode<T: Serialize>(message: &T) -> Vec<u8> {
     // Writing to memory fails only for types that MessagePack cannot express; ours all can.
-    rmp_serde::to_vec(message).unwrap_or_default()
+    rmp_serde::to_vec_named(message).unwrap_or_default()
 }
 
 /// Decodes a message; `None` if it has the wrong shape.
--- a/src/place.rs
+++ b/src/place.rs
@@ -86,12 +86,15 @@
     pub open: bool,
     /// Whether tasks take much longer here than elsewhere.
     pub slow: bool,
+    /// Whether it is kept for work that may not use spot machines.
+    pub kept: bool,
 }
 
 impl Room {
     /// Whether a task of the job may start here now.
     pub fn takes(&self, spec: &JobSpec, need: &Need, zone: Option<&str>) -> bool {
         self.open
+            && !(self.kept && spec.loaners)
             && need.fits(&self.free)
             && zone.is_none_or(|z| *z == *self.zone)
             && allowed(spec, &self.hull, &self.zone, self.spot)
@@ -165,6 +168,7 @@
             fetch_rate: flavor.fetch_gb_per_s,
             open: open && known && ledger.machine_known(id),
             slow: false,
+            kept: false,
         })
     }
 }
@@ -240,6 +244,79 @@
     chosen
 }
 
+/// Waits that differ by no more than that are alike when a gang's machines are chosen.
+const ALIKE_S: f64 = 0.5;
+
+/// Machines for all of a gang's tasks, or `None` if they do not all fit: those where all can begin
+/// first, and among them as few as hold it, as each further one can be late or be lost. Also
+/// says when the last can begin, in seconds. `may` says which machines can be used at all.
+pub fn pack(
+    spec: &JobSpec,
+    need: &Need,
+    rooms: &[Room],
+    may: &[bool],
+    zone: Option<&str>,
+    count: usize,
+) -> Option<(f64, Vec<usize>)> {
+    let wait = |r: &Room| {
+        let slow = if r.slow { spec.guess_s * SLOW_PART } else { 0.0 };
+        r.fetch_s(spec) + r.delay_s + slow
+    };
+    let mut open: Vec<(f64, usize, usize)> = rooms
+        .iter()
+        .enumerate()
+        .filter(|(i, r)| may.get(*i).copied().unwrap_or(false) && r.takes(spec, need, zone))
+        .map(|(i, r)| (wait(r), i, slots(need, &r.free) as usize))
+        .collect();
+    open.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| rooms[a.1].id.cmp(&rooms[b.1].id)));
+    let mut sum = 0;
+    let last = open.iter().find(|o| {
+        sum += o.2;
+        sum >= count
+    })?;
+    let most = last.0 + ALIKE_S;
+    let mut open: Vec<_> = open.iter().copied().filter(|o| o.0 <= most).collect();
+    let (mut chosen, mut when) = (Vec::with_capacity(count), 0.0f64);
+    while chosen.len() < count {
+        let left = count - chosen.len();
+        // The tightest that holds the rest, else the widest. Large machines stay whole for others.
+        let holds = (0..open.len())
+            .filter(|&k| open[k].2 >= left)
+            .min_by(|&a, &b| open[a].2.cmp(&open[b].2).then(open[a].0.total_cmp(&open[b].0)));
+        let k = holds.or_else(|| {
+            (0..open.len())
+                .max_by(|&a, &b| open[a].2.cmp(&open[b].2).then(open[b].0.total_cmp(&open[a].0)))
+        })?;
+        let (wait, i, slots) = open.swap_remove(k);
+        when = when.max(wait);
+        chosen.extend(std::iter::repeat_n(i, slots.min(left)));
+    }
+    Some((when, chosen))
+}
+
+/// The same among all of some machines, where it counts the tasks in at once.
+pub fn pack_in(
+    spec: &JobSpec,
+    need: &Need,
+    rooms: &mut [Room],
+    zone: Option<&str>,
+    count: usize,
+) -> Vec<usize> {
+    let all = vec![true; rooms.len()];
+    let chosen = pack(spec, need, rooms, &all, zone, count).map_or(vec![], |(_, chosen)| chosen);
+    chosen.iter().for_each(|i| rooms[*i].add(spec, need));
+    chosen
+}
+
+/// How many tasks fit into what is offered or free.
+pub fn slots(need: &Need, offered: &Need) -> u32 {
+    let per = |n: Cores, o: Cores| o.0.checked_div(n.0).unwrap_or(u64::MAX);
+    per(need.cores, offered.cores)
+        .min(per(need.memory, offered.memory))
+        .min(per(need.accelerators, offered.accelerators))
+        .min(10_000) as u32
+}
+
 /// Whether some machine type could ever hold a task of the job.
 pub fn can_ever_run(spec: &JobSpec, flavors: &Flavors) -> bool {
     let need = Need::of(spec);
@@ -288,6 +365,7 @@
             fetch_rate: 0.5,
             open: true,
             slow: false,
+            kept: false,
         }
     }
 
--- a/src/service.rs
+++ b/src/service.rs
@@ -40,6 +40,9 @@
 const SUMMARY_LEAST: Duration = Duration::from_millis(60);
 /// Time between two messages through the store.
 const RELAY: Duration = Duration::from_millis(350);
+/// Most transactions that a message through the store takes, and how many a summary fills.
+const RELAY_TXNS: usize = 16;
+const RELAY_SUMMARY_TXNS: usize = 2;
 /// Most bytes of a message between controllers, and about how many of them a summary fills.
 const PEER_BYTES: usize = 1 << 20;
 const DIRECT_BYTES: usize = PEER_BYTES * 3 / 4;
@@ -449,7 +452,8 @@
                 if now.since(relayed) >= RELAY.as_millis() as u64 {
                     relayed = now;
                     let limits = &self.settings.params.state;
-                    let room = relay::capacity(relay_value(limits), limits.txn_ops);
+                    let room =
+                        relay::capacity(relay_value(limits), limits.txn_ops * RELAY_SUMMARY_TXNS);
                     let summary = self.summary(room);
                     self.relay_summary(leader, &summary).await;
                 }
@@ -491,7 +495,8 @@
 
     async fn announce(&self, a: &Announcement) {
         let Ok(addr) = a.endpoint.parse() else { return };
-        let body = wire::encode(&Direct { baton: a.term, tenure: a.session, orders: vec![] });
+        let body =
+            wire::encode(&Direct { baton: a.term, tenure: a.session, orders: a.orders.clone() });
         let client = Client::new(addr, wire::BODY_LIMIT * 4);
         let Ok(answer) = client.call("POST", "/do", &body, ANNOUNCE_LIMIT).await else { return };
         if !matches!(answer.status, 200 | 409) {
@@ -602,28 +607,38 @@
                 .map(|m| Guard { path: ledger::member_key(self.me), stamp: m.1 })
         };
         let Some(guard) = guard else { return };
-        self.relay(leader, guard, &peer::encode(&Relayed::Summary(summary.clone()))).await;
+        self.relay(leader, guard, &peer::encode(&Relayed::Summary(Box::new(summary.clone()))))
+            .await;
     }
 
     async fn relay(&self, to: NodeId, guard: Guard, message: &[u8]) {
         let limits = &self.settings.params.state;
         let parts = relay::split(message, relay_value(limits));
-        if parts.len() > limits.txn_ops {
+        if parts.len() > RELAY_TXNS * limits.txn_ops {
             warn!(parts = parts.len(), "message too large for the store");
             return;
         }
-        let apply = parts
-            .into_iter()
-            .enumerate()
-            .map(|(i, text)| Change::Set {
-                path: ledger::relay_key(to, self.me, i as u32),
-                value: wire::Value::Text(text),
-                lease: None,
-            })
-            .collect();
-        let txn = Txn { guards: vec![guard], apply };
-        if let Err(e) = self.store.commit(&txn).await {
-            debug!(error = %e, "message through the store failed");
+        let mut changes = parts.into_iter().enumerate().map(|(i, text)| Change::Set {
+            path: ledger::relay_key(to, self.me, i as u32),
+            value: wire::Value::Text(text),
+            lease: None,
+        });
+        // What does not fit into one transaction follows in others. The receiver takes the message
+        // once it has all its parts; while some are of another one, it waits.
+        loop {
+            let apply: Vec<Change> = changes.by_ref().take(limits.txn_ops).collect();
+            if apply.is_empty() {
+                return;
+            }
+            let txn = Txn { guards: vec![guard.clone()], apply };
+            match self.store.commit(&txn).await {
+                Ok(Committed::Yes(_)) => {}
+                Ok(Committed::No(_)) => return,
+                Err(e) => {
+                    debug!(error = %e, "message through the store failed");
+                    return;
+                }
+            }
         }
     }
 
@@ -643,7 +658,7 @@
                 Some(Relayed::Summary(summary))
                     if summary.node == NodeId(from) && self.core.borrow().lead.is_some() =>
                 {
-                    let tell = self.take_summary(summary);
+                    let tell = self.take_summary(*summary);
                     self.relaying.borrow_mut().insert(NodeId(from), (self.now(), tell));
                 }
                 Some(Relayed::Tell(tell)) => {
@@ -822,14 +837,13 @@
         };
         if let Some(guard) = guard {
             let unchanged = self.core.borrow().ledger.unchanged(ledger::FLAVORS_KEY);
-            let txn = Txn {
-                guards: vec![guard, unchanged],
-                apply: vec![Change::Set {
-                    path: ledger::FLAVORS_KEY.into(),
-                    value: wire::to_value(&got),
-                    lease: None,
-                }],
-            };
+            let limits = &self.settings.params.state;
+            let mut pieces = ledger::flavor_pieces(&got, limits.value_bytes());
+            if pieces.len() > limits.txn_ops {
+                warn!(pieces = pieces.len(), "not all machine types fit into a transaction");
+                pieces.truncate(limits.txn_ops);
+            }
+            let txn = Txn { guards: vec![guard, unchanged], apply: pieces };
             let _ = self.store.commit(&txn).await;
         }
         true
@@ -993,7 +1007,12 @@
             if batch.is_empty() {
                 return;
             }
-            let txn = accept_txn(batch.iter().map(|(spec, _)| spec), self.wall());
+            let txn = {
+                let core = self.core.borrow();
+                let bytes = self.settings.params.state.value_bytes();
+                let specs = batch.iter().map(|(spec, _)| spec);
+                accept_txn(specs, self.wall(), &core.flavors, bytes)
+            };
             match self.store.commit_hedged(&txn, Duration::from_millis(60)).await {
                 Ok(Committed::Yes(stamp)) => {
                     self.apply_own(&txn, stamp);
--- a/src/state.rs
+++ b/src/state.rs
@@ -118,12 +118,18 @@
         Self::checked(self.http.call(method, path, body, self.limit).await)
     }
 
-    async fn pace(&self, changes: usize) {
+    /// Takes from the budgets and says how long to wait for that.
+    fn charge(&self, changes: usize) -> Duration {
         let now = Instant::now();
-        let mut wait = self.requests.borrow_mut().take(1.0, now);
-        if changes > 0 {
-            wait = wait.max(self.writes.borrow_mut().take(changes as f64, now));
+        let wait = self.requests.borrow_mut().take(1.0, now);
+        if changes == 0 {
+            return wait;
         }
+        wait.max(self.writes.borrow_mut().take(changes as f64, now))
+    }
+
+    async fn pace(&self, changes: usize) {
+        let wait = self.charge(changes);
         if !wait.is_zero() {
             tokio::time::sleep(wait).await;
         }
@@ -192,13 +198,15 @@
     /// while the other request is still out: that may have been this very transaction, and
     /// the caller looks the keys up to learn which.
     pub async fn commit_hedged(&self, txn: &Txn, after: Duration) -> Result<Committed, StateError> {
-        self.pace(txn.apply.len()).await;
+        // What users wait for goes before bulk: it takes from the budgets without queueing behind
+        // them, and what comes after makes up for it.
+        self.charge(txn.apply.len());
         let first = self.send(txn);
         tokio::pin!(first);
         if let Ok(done) = tokio::time::timeout(after, &mut first).await {
             return done;
         }
-        self.pace(txn.apply.len()).await;
+        self.charge(txn.apply.len());
         let second = self.send(txn);
         tokio::pin!(second);
         tokio::select! {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -78,7 +78,7 @@
     Sweep,
     /// Replicas that run until the job is cancelled.
     Service,
-    /// Tasks that need each other: they run all at once or wait.
+    /// Tasks that need each other: they run all at once or wait, and complete together.
     Gang,
 }
 
@@ -228,6 +228,8 @@
     Fetching,
     /// Runs.
     Running,
+    /// A gang's task that waits for the others of its attempt.
+    Waiting,
     /// Saves after having been told to stop.
     Flushing,
     /// Has ended.
@@ -251,9 +253,9 @@
     NoRoom,
     /// Refused: here with another attempt.
     InUse,
-    /// The other tasks of its gang did not come.
+    /// Another task of its gang is gone.
     Peers,
-    /// The other tasks of its gang were lost.
+    /// Its gang was not complete in time.
     Alone,
     /// Refused: no such task; also any cause that this version does not know.
     #[serde(other)]
@@ -335,6 +337,17 @@
     },
 }
 
+impl Order {
+    /// The task that it is about.
+    pub fn piece(&self) -> TaskId {
+        match self {
+            Order::Start { piece, .. } | Order::Kill { piece, .. } | Order::Clear { piece, .. } => {
+                *piece
+            }
+        }
+    }
+}
+
 /// The answer to a report.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "PascalCase")]
@@ -652,6 +665,29 @@
     decode::<Probe>(body).is_ok()
 }
 
+/// Bytes that a message takes as a value of the state service. The protocol counts the form in
+/// which its page shows messages, JSON; what travels is CBOR, so neither may be larger.
+pub fn stored_bytes<T: Serialize>(message: &T) -> usize {
+    struct Count(usize);
+    impl std::io::Write for Count {
+        fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+            self.0 += bytes.len();
+            Ok(bytes.len())
+        }
+        fn flush(&mut self) -> std::io::Result<()> {
+            Ok(())
+        }
+    }
+    let mut shown = Count(0);
+    // Counting fails only for what JSON cannot express, which no message holds.
+    if serde_json::to_writer(&mut shown, message).is_err() {
+        return usize::MAX;
+    }
+    let mut sent = Count(0);
+    let _ = ciborium::into_writer(message, &mut sent);
+    shown.0.max(sent.0)
+}
+
 /// Turns a message into a value of the state service.
 pub fn to_value<T: Serialize>(message: &T) -> Value {
     Value::serialized(message).unwrap_or(Value::Null)
--- a/tests/sim/check.rs
+++ b/tests/sim/check.rs
@@ -13,6 +13,8 @@
         machine: usize,
         team: usize,
         cores: u64,
+        /// Its zone, if its job wants all tasks in one.
+        zone: Option<&'static str>,
     },
     Leaves {
         task: Task,
@@ -52,6 +54,7 @@
     cancel_ms: u64,
     team_limit: u64,
     on: BTreeMap<Task, BTreeMap<usize, (usize, u64)>>,
+    zones: BTreeMap<Task, &'static str>,
     cancelled: BTreeMap<u64, u64>,
     done: BTreeSet<u64>,
     /// Since when a node has not answered about a job.
@@ -73,6 +76,7 @@
             cancel_ms,
             team_limit,
             on: BTreeMap::new(),
+            zones: BTreeMap::new(),
             cancelled: BTreeMap::new(),
             done: BTreeSet::new(),
             unanswered: BTreeMap::new(),
@@ -84,7 +88,16 @@
 
     pub fn see(&mut self, at: u64, event: Event) {
         match event {
-            Event::Starts { task, machine, team, cores } => {
+            Event::Starts { task, machine, team, cores, zone } => {
+                if let Some(zone) = zone {
+                    let others = self.zones.range((task.0, 0)..=(task.0, u32::MAX));
+                    let mut others = others.filter(|(t, _)| self.on.contains_key(t));
+                    if others.any(|(_, z)| *z != zone) {
+                        self.broken
+                            .push(format!("{at}: {task:?} starts in {zone}, others elsewhere"));
+                    }
+                    self.zones.insert(task, zone);
+                }
                 let on = self.on.entry(task).or_default();
                 if on.keys().any(|m| *m != machine) {
                     self.broken.push(format!("{at}: {task:?} on {on:?} starts on {machine}"));
--- a/tests/sim/main.rs
+++ b/tests/sim/main.rs
@@ -17,7 +17,10 @@
 
 /// Plays a day of 20 leases and expects that no rule breaks and that all that was asked for ends.
 fn play(name: &str, seed: u64, rhythm: Rhythm, faults: &[(u64, Fault)]) {
-    let mut world = World::new(seed, rhythm);
+    play_in(World::new(seed, rhythm), name, seed, rhythm, faults);
+}
+
+fn play_in(mut world: World, name: &str, seed: u64, rhythm: Rhythm, faults: &[(u64, Fault)]) {
     world.run(faults, rhythm.lease_ms * 20);
     let name = format!("{name} {seed} {rhythm:?}");
     assert!(world.checker.broken.is_empty(), "{name}: {:?}", world.checker.broken);
@@ -163,9 +166,22 @@
     }
 }
 
+#[test]
+fn gangs_keep_the_rules_and_end_through_random_failures() {
+    for seed in 200..240 {
+        for rhythm in [BRISK, SLOW] {
+            let faults = world::random_faults(seed, rhythm);
+            let name = format!("gangs {faults:?}");
+            play_in(World::with_gangs(seed, rhythm), &name, seed, rhythm, &faults);
+        }
+    }
+}
+
 #[test]
 fn the_checker_finds_broken_histories() {
-    let start = |task, machine| Event::Starts { task, machine, team: 0, cores: 4 };
+    let start = |task, machine| Event::Starts { task, machine, team: 0, cores: 4, zone: None };
+    let within =
+        |task, machine, zone| Event::Starts { task, machine, team: 0, cores: 4, zone: Some(zone) };
     let ends = |task, machine| Event::Leaves { task, machine };
     type Case = (&'static str, Vec<(u64, Event)>, usize);
     let cases: Vec<Case> = vec![
@@ -177,6 +193,12 @@
             vec![(0, start((1, 0), 0)), (5, Event::Cancelled { job: 1 }), (31_000, Event::Tick)],
             1,
         ),
+        ("not in one zone", vec![(0, within((1, 0), 0, "a")), (1, within((1, 1), 1, "b"))], 1),
+        (
+            "in another zone once the first is gone",
+            vec![(0, within((1, 0), 0, "a")), (1, ends((1, 0), 0)), (2, within((1, 0), 1, "b"))],
+            0,
+        ),
         ("called done too soon", vec![(0, Event::CalledDone { job: 1, done: 1, of: 2 })], 1),
         (
             "went back",
--- a/tests/sim/worker.rs
+++ b/tests/sim/worker.rs
@@ -9,6 +9,7 @@
 
 pub const FETCH_MS: u64 = 700;
 const TIMEOUT_MS: u64 = 4_000;
+const GANG_WAIT_MS: u64 = 30_000;
 
 struct Task {
     stage: PieceStage,
@@ -19,6 +20,9 @@
 /// What changed on the machine, for the checker.
 pub enum Change {
     Runs(TaskId),
+    /// It has completed.
+    Completes(TaskId),
+    /// It is gone without having completed.
     Leaves(TaskId),
 }
 
@@ -87,7 +91,7 @@
             if !which(t) {
                 return true;
             }
-            if t.stage == PieceStage::Running {
+            if is_there(t.stage) {
                 out.push(Change::Leaves(*task));
             }
             false
@@ -96,7 +100,12 @@
     }
 
     /// Runs tasks and keeps the lease.
-    pub fn tick(&mut self, now: u64, run_ms: impl Fn(TaskId) -> u64) -> Vec<Change> {
+    pub fn tick(
+        &mut self,
+        now: u64,
+        run_ms: impl Fn(TaskId) -> u64,
+        is_gang: impl Fn(TaskId) -> bool,
+    ) -> Vec<Change> {
         let mut out = Vec::new();
         if self.gone {
             return out;
@@ -117,6 +126,22 @@
                 continue;
             }
             match t.stage {
+                PieceStage::Fetching if is_gang(*task) => {
+                    t.stage = PieceStage::Waiting;
+                    t.until = now + GANG_WAIT_MS;
+                    out.push(Change::Runs(*task));
+                    changed = true;
+                }
+                PieceStage::Waiting => {
+                    end(t, Cause::Alone);
+                    out.push(Change::Leaves(*task));
+                    changed = true;
+                }
+                PieceStage::Flushing => {
+                    end(t, Cause::Stopped);
+                    out.push(Change::Leaves(*task));
+                    changed = true;
+                }
                 PieceStage::Fetching => {
                     t.stage = PieceStage::Running;
                     t.until = now + run_ms(*task);
@@ -124,10 +149,8 @@
                     changed = true;
                 }
                 PieceStage::Running => {
-                    t.stage = PieceStage::Ended;
-                    t.cause = Some(Cause::Done);
-                    t.until = u64::MAX;
-                    out.push(Change::Leaves(*task));
+                    end(t, Cause::Done);
+                    out.push(Change::Completes(*task));
                     changed = true;
                 }
                 _ => {}
@@ -142,6 +165,29 @@
         out
     }
 
+    /// Gang tasks that wait for the others or run, with their attempt.
+    pub fn gang_tasks(&self) -> impl Iterator<Item = (TaskId, Attempt, PieceStage)> + '_ {
+        let there = |t: &Task| matches!(t.stage, PieceStage::Waiting | PieceStage::Running);
+        let all = self.tasks.iter().filter(move |(_, t)| there(t));
+        all.map(|((task, attempt), t)| (*task, *attempt, t.stage))
+    }
+
+    /// All tasks of its gang are there: it runs until then.
+    pub fn gang_runs(&mut self, task: TaskId, attempt: Attempt, until: u64, now: u64) {
+        if let Some(t) = self.tasks.get_mut(&(task, attempt)) {
+            (t.stage, t.until) = (PieceStage::Running, until);
+            self.next = self.next.min(now + 500);
+        }
+    }
+
+    /// Another task of its gang is gone.
+    pub fn gang_breaks(&mut self, task: TaskId, attempt: Attempt, now: u64) -> Vec<Change> {
+        let Some(t) = self.tasks.get_mut(&(task, attempt)) else { return Vec::new() };
+        end(t, Cause::Peers);
+        self.next = self.next.min(now + 500);
+        vec![Change::Leaves(task)]
+    }
+
     fn try_next(&mut self, now: u64) {
         self.in_flight = None;
         self.target = (self.target + 1) % 3;
@@ -159,16 +205,24 @@
         Some((self.target, self.state()))
     }
 
-    /// Answers a direct command without orders: with its report, whether it took the token or not.
-    pub fn direct(&mut self, now: u64, baton: u64, tenure: u64) -> Report {
+    /// Answers a direct command: with its report, whether it took the token or not.
+    pub fn direct(
+        &mut self,
+        now: u64,
+        baton: u64,
+        tenure: u64,
+        orders: &[Order],
+    ) -> (Report, Vec<Change>) {
+        let mut changes = Vec::new();
         if baton >= self.baton && tenure == self.session {
             if baton > self.baton {
                 self.next = self.next.min(now + 500);
             }
             self.baton = baton;
+            changes = orders.iter().flat_map(|o| self.order(now, o.clone())).collect();
         }
         self.tally += 1;
-        self.state()
+        (self.state(), changes)
     }
 
     fn state(&self) -> Report {
@@ -237,11 +291,18 @@
                 self.tasks.entry((piece, r#try)).or_insert(task);
                 Vec::new()
             }
-            Order::Kill { piece, r#try, .. } => match self.tasks.get_mut(&(piece, r#try)) {
+            Order::Kill { piece, r#try, leeway_s } => match self.tasks.get_mut(&(piece, r#try)) {
                 Some(t) if t.stage != PieceStage::Ended => {
-                    let ran = t.stage == PieceStage::Running;
-                    t.stage = PieceStage::Ended;
-                    t.cause = Some(Cause::Stopped);
+                    let ran = is_there(t.stage);
+                    if leeway_s > 0.0 && t.stage == PieceStage::Running {
+                        t.stage = PieceStage::Flushing;
+                        t.until = now + 1_000;
+                        return Vec::new();
+                    }
+                    if leeway_s > 0.0 && t.stage == PieceStage::Flushing {
+                        return Vec::new();
+                    }
+                    end(t, Cause::Stopped);
                     if ran { vec![Change::Leaves(piece)] } else { Vec::new() }
                 }
                 _ => Vec::new(),
@@ -257,6 +318,15 @@
     }
 }
 
+fn end(t: &mut Task, cause: Cause) {
+    (t.stage, t.cause, t.until) = (PieceStage::Ended, Some(cause), u64::MAX);
+}
+
+/// Whether a task is on its machine as the rules see it: it has its image.
+fn is_there(stage: PieceStage) -> bool {
+    matches!(stage, PieceStage::Running | PieceStage::Waiting | PieceStage::Flushing)
+}
+
 /// How a report was answered.
 #[derive(Clone, Debug)]
 pub enum Answer {
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -8,12 +8,14 @@
 use willowshore::capacity::Offer;
 use willowshore::config::Settings;
 use willowshore::core::{Core, Moment, accept_txn};
-use willowshore::model::{Incarnation, JobId, NodeId, Steady, TaskId, Wall};
+use willowshore::model::{Attempt, Incarnation, JobId, NodeId, Steady, TaskId, Wall};
 use willowshore::part::{Announcement, ReportAnswer};
 use willowshore::peer::{self, Summary, Tell};
 use willowshore::state::Committed;
 use willowshore::term::LEASE_MS;
-use willowshore::wire::{Flavor, Flavors, JobSpec, JobStage, Report, Shape, Txn, Urgency};
+use willowshore::wire::{
+    Flavor, Flavors, JobSpec, JobStage, PieceStage, Report, Shape, Txn, Urgency,
+};
 
 use crate::check::{Checker, Event};
 use crate::store::Store;
@@ -27,6 +29,8 @@
 /// How long a replaced machine boots.
 const BOOT_MS: u64 = 12_000;
 const TEAM_LIMIT: u64 = 32;
+/// Time in which a gang's tasks notice that one is gone.
+const GANG_NOTICE_MS: u64 = 2_000;
 const ZONES: [&str; 2] = ["a", "b"];
 
 const SETTINGS: &str = include_str!("../settings.toml");
@@ -170,6 +174,10 @@
     wanted_cancels: BTreeSet<u64>,
     /// Milliseconds between two submissions.
     every: u64,
+    /// Gangs that lost a task, and since when.
+    broken_gangs: BTreeMap<(JobId, Attempt), u64>,
+    /// Tasks of gangs that began to run.
+    pub gangs_begun: usize,
 }
 
 fn spec(id: u64, tasks: u32, run_s: f64) -> JobSpec {
@@ -302,9 +310,25 @@
             told: BTreeSet::new(),
             wanted_cancels: BTreeSet::new(),
             every: 3_500,
+            broken_gangs: BTreeMap::new(),
+            gangs_begun: 0,
         }
     }
 
+    /// A world in which some jobs are gangs, in one zone, spread, or anywhere.
+    pub fn with_gangs(seed: u64, rhythm: Rhythm) -> Self {
+        let mut world = World::new(seed, rhythm);
+        for (id, job) in world.jobs.iter_mut().filter(|(id, _)| *id % 2 == 1 || **id == 4) {
+            job.shape = Shape::Gang;
+            job.one_zone = id % 4 == 1;
+            job.scatter = *id == 4;
+            job.pieces = [2, 3, 4, 6][*id as usize / 2 % 4];
+            job.bookmark_s = if *id == 3 { 0.0 } else { 2.0 };
+            job.stash_s = 1.0;
+        }
+        world
+    }
+
     /// A world in which more urgent work comes all the time than there is room for, beside one
     /// large job of lower rank.
     pub fn crowded(seed: u64) -> Self {
@@ -472,9 +496,14 @@
                 Change::Runs(t) => {
                     let task = (t.job.0, t.index);
                     self.checker.see(self.now, Event::Began { job: t.job.0 });
-                    Event::Starts { task, machine: worker, team: 0, cores: 4 }
+                    let zone = self.workers[worker].zone;
+                    let bound = self.jobs.get(&t.job.0).is_some_and(|j| j.one_zone);
+                    let zone = bound.then_some(zone);
+                    Event::Starts { task, machine: worker, team: 0, cores: 4, zone }
+                }
+                Change::Leaves(t) | Change::Completes(t) => {
+                    Event::Leaves { task: (t.job.0, t.index), machine: worker }
                 }
-                Change::Leaves(t) => Event::Leaves { task: (t.job.0, t.index), machine: worker },
             };
             self.checker.see(self.now, event);
         }
@@ -495,11 +524,18 @@
             }
         }
         for w in 0..self.workers.len() {
-            let changes = self.workers[w].tick(now, |t| 5_000 + 1_000 * u64::from(t.index % 5));
-            // A task that leaves by itself has completed; kills come with answers.
+            let jobs = &self.jobs;
+            let gang = |t: TaskId| jobs.get(&t.job.0).is_some_and(|j| j.shape == Shape::Gang);
+            let changes =
+                self.workers[w].tick(now, |t| 5_000 + 1_000 * u64::from(t.index % 5), gang);
             for c in &changes {
-                if let Change::Leaves(t) = c {
+                if let Change::Completes(t) = c {
                     self.completed.insert(*t);
+                    // If one task of a gang is done, all are.
+                    if gang(*t) {
+                        let all = (0..jobs[&t.job.0].pieces).map(|index| TaskId { index, ..*t });
+                        self.completed.extend(all);
+                    }
                 }
             }
             self.see(w, changes);
@@ -515,6 +551,7 @@
                 self.send(Place::Worker(w), Place::Node(node), message);
             }
         }
+        self.gangs();
         while let Some(entry) = self.messages.first_entry().filter(|e| e.key().0 <= now) {
             let message = entry.remove();
             self.deliver(message);
@@ -526,6 +563,40 @@
         self.checker.see(now, Event::Tick);
     }
 
+    /// Gangs begin when all tasks of an attempt wait, and break when one is gone or hangs.
+    fn gangs(&mut self) {
+        let now = self.now;
+        let mut gangs: BTreeMap<(JobId, Attempt), Vec<(usize, TaskId, PieceStage)>> =
+            BTreeMap::new();
+        for (w, worker) in self.workers.iter().enumerate().filter(|(_, w)| w.active(now)) {
+            for (task, attempt, stage) in worker.gang_tasks() {
+                let of = self.jobs.get(&task.job.0);
+                if of.is_some_and(|j| j.shape == Shape::Gang) {
+                    gangs.entry((task.job, attempt)).or_default().push((w, task, stage));
+                }
+            }
+        }
+        self.broken_gangs.retain(|g, _| gangs.contains_key(g));
+        for ((job, attempt), tasks) in gangs {
+            let pieces = self.jobs[&job.0].pieces as usize;
+            let runs = tasks.iter().any(|t| t.2 == PieceStage::Running);
+            if tasks.len() == pieces && !runs {
+                for (w, task, _) in tasks {
+                    self.workers[w].gang_runs(task, attempt, now + 8_000, now);
+                    self.gangs_begun += 1;
+                }
+            } else if tasks.len() < pieces && runs && !self.completed.contains(&tasks[0].1) {
+                let since = *self.broken_gangs.entry((job, attempt)).or_insert(now);
+                if now - since >= GANG_NOTICE_MS {
+                    for (w, task, _) in tasks {
+                        let changes = self.workers[w].gang_breaks(task, attempt, now);
+                        self.see(w, changes);
+                    }
+                }
+            }
+        }
+    }
+
     fn deliver(&mut self, message: Message) {
         let now = self.now;
         match message {
@@ -565,7 +636,9 @@
                     self.messages.insert((until, self.sent), message);
                     return;
                 }
-                let report = worker.direct(now, announced.term.0, announced.session.0);
+                let (term, session) = (announced.term.0, announced.session.0);
+                let (report, changes) = worker.direct(now, term, session, &announced.orders);
+                self.see(w, changes);
                 let message = Message::Announced(n, announced, report, sent);
                 self.send(Place::Worker(w), Place::Node(n), message);
             }
@@ -929,7 +1002,12 @@
         let Ok(node) = &self.nodes[n] else { return };
         if !node.core.ledger.jobs.contains_key(&JobId(id)) {
             // A repeat at another node, or while the first is still out, changes nothing.
-            let txn = accept_txn([&self.jobs[&id]].into_iter(), Wall(1_000_000 + now));
+            let txn = accept_txn(
+                [&self.jobs[&id]].into_iter(),
+                Wall(1_000_000 + now),
+                &node.core.flavors,
+                node.core.settings.params.state.value_bytes(),
+            );
             self.commit(n, &txn);
         } else if self.wanted_cancels.contains(&id)
             && let Some(txn) = node.core.cancel_txn(JobId(id))
