--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -566,8 +566,8 @@
     /// Gangs begin when all tasks of an attempt wait, and break when one is gone or hangs.
     fn gangs(&mut self) {
         let now = self.now;
-        let mut gangs: BTreeMap<(JobId, Attempt), Vec<(usize, TaskId, PieceStage)>> =
-            BTreeMap::new();
+        type OnWorker = (usize, TaskId, PieceStage);
+        let mut gangs: BTreeMap<(JobId, Attempt), Vec<OnWorker>> = BTreeMap::new();
         for (w, worker) in self.workers.iter().enumerate().filter(|(_, w)| w.active(now)) {
             for (task, attempt, stage) in worker.gang_tasks() {
                 let of = self.jobs.get(&task.job.0);
--- /dev/null
+++ b/tests/upgrade/main.rs
@@ -0,0 +1,248 @@
+//! Two versions side by side: this one reads what version 0.1 wrote, and what this one writes is
+//! read by decoders frozen in the shape of version 0.1.
+
+mod frozen;
+
+use std::collections::BTreeMap;
+
+use willowshore::capacity::Load;
+use willowshore::ledger::{
+    Accepted, EpochRecord, LeadRecord, MachineGroup, MachineRecord, MemberRecord, Progress, SPEAKS,
+    TermRecord,
+};
+use willowshore::model::{
+    Attempt, Incarnation, JobId, MachineId, NodeId, PlanSeq, Ranges, Session, TaskId, Term, Wall,
+};
+use willowshore::peer::{
+    self, Ask, Grant, MachineView, OwnerNews, Plan, PlanBody, Relayed, Standing, Stop, Stray,
+    Summary, TaskView, Tell, Waits,
+};
+use willowshore::wire::{self, JobSpec, JobStage, PieceStage, Shape, Urgency};
+
+/// What version 0.1 wrote, by name.
+fn fixtures() -> BTreeMap<&'static str, Vec<u8>> {
+    let lines = include_str!("production-0.1.txt").lines().filter(|l| !l.starts_with('#'));
+    lines
+        .map(|line| {
+            let (name, hex) = line.split_once(' ').unwrap();
+            let byte = |i| u8::from_str_radix(&hex[i..i + 2], 16).unwrap();
+            (name, (0..hex.len()).step_by(2).map(byte).collect())
+        })
+        .collect()
+}
+
+fn task(job: u64, index: u32, stage: PieceStage) -> TaskView {
+    TaskView { task: TaskId { job: JobId(job), index }, stage }
+}
+
+fn machine(id: &str) -> MachineId {
+    MachineId::new(id)
+}
+
+/// The summary of the fixtures.
+fn summary() -> Summary {
+    let view = MachineView {
+        id: machine("n-000001"),
+        hull: "kleine".into(),
+        zone: "a".into(),
+        spot: true,
+        endpoint: "10.1.0.1:9000".into(),
+        settled: true,
+        session: Session(2),
+        leaving: false,
+        shun_ms: 700,
+        tasks: vec![task(412, 3, PieceStage::Running), task(412, 4, PieceStage::Unknown)],
+        images: vec![("img-07".into(), 6.25)],
+    };
+    let stray = Stray {
+        id: machine("n-000002"),
+        hull: "kleine".into(),
+        zone: "b".into(),
+        spot: false,
+        silent_ms: 5,
+        since_ms: 6,
+    };
+    Summary {
+        node: NodeId(1),
+        life: Incarnation(77),
+        number: 9,
+        base: 8,
+        more: false,
+        term: Term(41),
+        followed: PlanSeq(5),
+        echo_ms: 1234,
+        up_ms: 99_000,
+        served_ms: 12,
+        heard_ms: 30,
+        machines: vec![view],
+        answered: vec![(machine("n-000001"), 15)],
+        strays: vec![stray],
+        reborn: vec![machine("n-000002")],
+        failing: vec![398],
+        finished: vec![(412, Ranges::span(0, 3))],
+        notices: vec![],
+    }
+}
+
+/// The plan of the fixtures.
+fn plan() -> Plan {
+    let grant = |job, tasks, zone: Option<&str>, attempt| Grant {
+        job,
+        tasks,
+        zone: zone.map(String::from),
+        attempt,
+    };
+    Plan {
+        term: Term(41),
+        life: Incarnation(77),
+        seq: PlanSeq(6),
+        clock_ms: 4321,
+        heard: 9,
+        owners: OwnerNews {
+            base: PlanSeq(5),
+            set: vec![(machine("n-000001"), NodeId(1))],
+            gone: vec![machine("n-000002")],
+        },
+        body: Some(PlanBody {
+            grants: vec![
+                grant(412, Ranges::span(4, 9), Some("a"), Some(Attempt(5))),
+                grant(398, Ranges::span(0, 1), None, None),
+            ],
+            drain: vec![machine("n-000001")],
+            slow: vec![machine("n-000002")],
+            lapsed: vec![(machine("n-000002"), Session(3))],
+            standings: vec![Standing { job: 412, running: 3, waits: Waits::ForMachines }],
+            stops: vec![],
+            kept: vec![],
+        }),
+    }
+}
+
+fn spec() -> JobSpec {
+    JobSpec {
+        r#ref: JobId(412),
+        lane: "train".into(),
+        owner: "vision".into(),
+        shape: Shape::Gang,
+        urgency: Urgency::High,
+        pieces: 16,
+        vcpus: 8.0,
+        accelerators: 1.0,
+        mem_gb: 64.0,
+        bundle: "img-07".into(),
+        size_gb: 6.25,
+        hulls: Some(vec!["g8".into()]),
+        yard: None,
+        one_zone: true,
+        scatter: false,
+        loaners: true,
+        guess_s: 240.0,
+        bookmark_s: 30.0,
+        stash_s: 4.0,
+        due_s: Some(900.0),
+    }
+}
+
+#[test]
+fn messages_of_the_version_before_are_read() {
+    let f = fixtures();
+    let ask = |name: &str| peer::decode::<Ask>(&f[name]);
+    let tell = |name: &str| peer::decode::<Tell>(&f[name]);
+    assert!(matches!(ask("ask-summary"), Some(Ask::Summary(s)) if s == summary()));
+    assert!(matches!(ask("ask-submit"), Some(Ask::Submit(s)) if s == spec()));
+    assert!(matches!(ask("ask-lead"), Some(Ask::Lead)));
+    assert!(matches!(ask("ask-query"), Some(Ask::Query(JobId(412)))));
+    assert!(matches!(tell("tell-plan"), Some(Tell::Plan(p)) if *p == plan()));
+    assert!(matches!(tell("tell-send-whole"), Some(Tell::SendWhole)));
+    assert!(matches!(tell("tell-lead"), Some(Tell::Lead(Some(l))) if l.term == Term(41)));
+    assert!(matches!(tell("tell-answer"), Some(Tell::Answer(200, b)) if b == [1, 2]));
+    let relayed = |name: &str| peer::decode::<Relayed>(&f[name]);
+    assert!(matches!(relayed("relayed-summary"), Some(Relayed::Summary(s)) if *s == summary()));
+    let not_leading = relayed("relayed-tell");
+    assert!(matches!(not_leading, Some(Relayed::Tell(Tell::NotLeading(Term(40))))));
+}
+
+#[test]
+fn values_of_the_version_before_are_read() {
+    let f = fixtures();
+    fn value<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> T {
+        wire::from_value(&wire::decode::<wire::Value>(bytes).unwrap()).unwrap()
+    }
+    assert_eq!(value::<Accepted>(&f["j"]).spec, spec());
+    assert_eq!(value::<Progress>(&f["d"]).done, Ranges::span(0, 3));
+    assert_eq!(value::<Progress>(&f["d-end"]).end, Some(JobStage::Done));
+    assert_eq!(value::<LeadRecord>(&f["lead"]).node, NodeId(2));
+    let member: MemberRecord = value(&f["n"]);
+    assert_eq!((member.life, member.speaks), (Incarnation(77), 0), "it does not know gangs");
+    assert!(member.speaks < SPEAKS);
+    assert_eq!(value::<TermRecord>(&f["term"]).term, Term(41));
+    let group: MachineGroup = value(&f["m"]);
+    let told: Vec<_> = group.machines.iter().map(|(_, m)| (m.up, m.gone)).collect();
+    assert_eq!(told, [(true, None), (true, Some(Wall(5)))]);
+    assert_eq!(value::<EpochRecord>(&f["e"]).granted, [(JobId(412), Ranges::span(0, 9))]);
+    assert_eq!(value::<Load>(&f["load"]), Load::default());
+}
+
+#[test]
+fn the_version_before_reads_what_this_one_writes() {
+    // With what it does not know: a waiting task, notices, stops and kept machines.
+    let mut told = summary();
+    told.machines[0].tasks.push(task(398, 1, PieceStage::Waiting));
+    told.notices = vec![(machine("n-000001"), 9_000)];
+    let frozen::Ask::Summary(s) =
+        rmp_serde::from_slice(&peer::encode(&Ask::Summary(told))).unwrap()
+    else {
+        panic!("not a summary");
+    };
+    assert_eq!((s.node, s.number, s.heard_ms, s.machines.len()), (1, 9, 30, 1));
+    let m = &s.machines[0];
+    assert_eq!((m.id.as_str(), m.zone.as_str(), m.session, m.shun_ms), ("n-000001", "a", 2, 700));
+    assert_eq!(m.tasks, [(412, 3, 2), (412, 4, 0), (398, 1, 5)], "5 is unknown there: it is on");
+    assert_eq!((s.strays[0].since_ms, s.finished[0].1[0]), (6, (0, 3)));
+
+    let mut sent = plan();
+    if let Some(body) = &mut sent.body {
+        body.stops = vec![Stop { job: 398, before: Attempt(9), leeway_ms: 0 }];
+        body.kept = vec![machine("n-000001")];
+    }
+    let frozen::Tell::Plan(p) =
+        rmp_serde::from_slice(&peer::encode(&Tell::Plan(Box::new(sent)))).unwrap()
+    else {
+        panic!("not a plan");
+    };
+    let body = p.body.unwrap();
+    assert_eq!((p.term, p.seq, p.heard, p.owners.set.len()), (41, 6, 9, 1));
+    assert_eq!((body.grants[0].job, body.grants[0].attempt, body.grants.len()), (412, Some(5), 2));
+    assert_eq!((body.lapsed[0].1, body.standings[0].running), (3, 3));
+
+    let submit = peer::encode(&Ask::Submit(spec()));
+    assert!(matches!(rmp_serde::from_slice(&submit), Ok(frozen::Ask::Submit(s)) if s == spec()));
+    let lead = LeadRecord { node: NodeId(2), life: Incarnation(78), term: Term(41) };
+    let bytes = peer::encode(&Tell::Lead(Some(lead)));
+    assert!(
+        matches!(rmp_serde::from_slice(&bytes), Ok(frozen::Tell::Lead(Some(l))) if l.term == 41)
+    );
+}
+
+#[test]
+fn the_version_before_reads_the_values_that_this_one_writes() {
+    let member = MemberRecord { life: Incarnation(77), version: "0.2.0".into(), speaks: SPEAKS };
+    let old: frozen::MemberRecord = wire::from_value(&wire::to_value(&member)).unwrap();
+    assert_eq!(old.life, 77);
+    let up = MachineRecord {
+        hull: "kleine".into(),
+        zone: "a".into(),
+        spot: false,
+        up: true,
+        gone: None,
+        endpoint: String::new(),
+    };
+    let machines =
+        vec![(machine("n-000001"), up.clone()), (machine("n-000002"), up.tombstone(Wall(7)))];
+    let old: frozen::MachineGroup =
+        wire::from_value(&wire::to_value(&MachineGroup { machines })).unwrap();
+    let told: Vec<_> = old.machines.iter().map(|(id, m)| (id.as_str(), m.up, m.gone)).collect();
+    assert_eq!(told, [("n-000001", true, None), ("n-000002", true, Some(7))]);
+    assert_eq!((old.machines[0].1.hull.as_str(), old.machines[0].1.spot), ("kleine", false));
+    assert_eq!((old.machines[0].1.zone.as_str(), &*old.machines[0].1.endpoint), ("a", ""));
+}
