--- a/src/lead/tests.rs
+++ b/src/lead/tests.rs
@@ -423,3 +423,283 @@
     assert!(!tell(&mut core, 1_300, 1, seen(false)), "n-1 may still take older orders");
     assert!(tell(&mut core, 1_500, 1, seen(true)));
 }
+
+/// A leader of term 3 with those limits of the store, now and to come, and what an earlier
+/// version left there: full groups of machines and granted ranges as large as it might write.
+fn leader_under(now: (f64, usize), next: Option<(f64, usize)>) -> (Core, BTreeMap<String, Item>) {
+    let mut text = EXAMPLE
+        .replacen("value_kb = 8.0", &format!("value_kb = {:.1}", now.0), 1)
+        .replacen("txn_ops = 12", &format!("txn_ops = {}", now.1), 1)
+        .replacen("cpus_max = 32.0", "cpus_max = 9000.0", 1);
+    if let Some((kb, ops)) = next {
+        text += &format!("\n[params.state.next]\nvalue_kb = {kb:.1}\ntxn_ops = {ops}\n");
+    }
+    let mut core = Core::new(Rc::new(Settings::parse(&text).unwrap()), LIFE);
+    core.set_flavors(&wire::Flavors { hulls: vec![flavor("small", 8.0, 64.0)] });
+    let lead = LeadRecord { node: NodeId(0), life: LIFE, term: Term(3) };
+    let mut items: Vec<(String, wire::Value)> = vec![
+        (ledger::LEAD_KEY.into(), wire::to_value(&lead)),
+        (ledger::TERM_KEY.into(), wire::to_value(&TermRecord { term: Term(3) })),
+        (
+            ledger::member_key(NodeId(0)),
+            wire::to_value(&ledger::MemberRecord {
+                life: LIFE,
+                version: String::new(),
+                speaks: ledger::SPEAKS,
+            }),
+        ),
+    ];
+    for id in 1..=600 {
+        let accepted = Accepted { spec: spec(id, 3), at: Wall(1) };
+        items.push((ledger::job_key(JobId(id)), wire::to_value(&accepted)));
+    }
+    for key in 0..16u64 {
+        // Tasks of earlier jobs that may still run, more than fit into 2 KiB.
+        let jobs = (1..=400).filter(|j| j % 16 == key);
+        let apart: Ranges = [0, 2].into_iter().collect();
+        let granted = jobs.map(|j| (JobId(j), apart.clone())).collect();
+        let record = EpochRecord { term: Term(2), granted };
+        items.push((ledger::epoch_key(key as u32), wire::to_value(&record)));
+    }
+    let names: Vec<MachineId> = (24..48).map(|n| MachineId::new(&format!("n-{n:06}"))).collect();
+    let ids: Vec<&str> = names.iter().map(|id| &*id.0).collect();
+    let mut machines = group(&ids);
+    for (_, m) in &mut machines.machines {
+        m.endpoint = "10.255.255.255:65535".into();
+    }
+    items.push((ledger::machine_key(1), wire::to_value(&machines)));
+    let items: BTreeMap<String, Item> = items
+        .into_iter()
+        .map(|(path, v)| (path.clone(), Item { path, v, stamp: Revision(9) }))
+        .collect();
+    let all: Vec<Item> = items.values().cloned().collect();
+    core.load(&all, Revision(9));
+    core.rights.lease = Some(StoreLease(1));
+    core.follow(at(0), &Brought { lead: true, ..Brought::default() });
+    (core, items)
+}
+
+/// Machines free for everything, by number.
+fn free(ids: std::ops::Range<u32>) -> Vec<MachineView> {
+    let view = |n| MachineView {
+        endpoint: "10.255.255.255:65535".into(),
+        ..view(&format!("n-{n:06}"), true, &[])
+    };
+    ids.map(view).collect()
+}
+
+#[test]
+fn what_the_leader_writes_keeps_both_sets_of_limits_and_loses_nothing() {
+    // Seen on a bench day: once the store's limits had fallen, every epoch's write got 400, and
+    // nothing was granted any more. The limits of the deployments, then the smallest.
+    let cases = [
+        ((8.0, 32), None),
+        ((8.0, 12), None),
+        ((8.0, 32), Some((2.0, 10))),
+        ((8.0, 12), Some((2.0, 4))),
+        ((2.0, 4), Some((8.0, 12))),
+        ((1.0, 2), None),
+    ];
+    for (now, next) in cases {
+        let (mut core, mut store) = leader_under(now, next);
+        let kb = next.map_or(now.0, |n| n.0.min(now.0));
+        let ops = next.map_or(now.1, |n| n.1.min(now.1));
+        let before = core.ledger.granted_before();
+        let rented: Vec<MachineId> = free(48..72).into_iter().map(|m| m.id).collect();
+        let offer = Offer { hull: "small".into(), zone: "a".into(), spot: false };
+        core.with_lead(at(1_000), |l, ctx| l.fleet.rented(ctx.now, &rented, &offer));
+        let mut revision = 9;
+        let mut granted: FxHashSet<TaskId> = FxHashSet::default();
+        for step in 0..400u64 {
+            let ms = 1_200 + step * 450;
+            core.rights.confirm_renewal(Steady(ms));
+            core.rights.confirm_sync(Steady(ms));
+            let told = Summary {
+                node: NodeId(0),
+                number: step + 1,
+                echo_ms: ms,
+                followed: core.lead.as_ref().map_or(PlanSeq(0), |l| l.seq),
+                machines: free(24..72),
+                answered: free(24..72).iter().map(|m| (m.id.clone(), 0)).collect(),
+                ..summary(1, 0, LIFE)
+            };
+            core.take_summary(Steady(ms), told);
+            let (epoch, term) = core.epoch(at(ms)).unwrap();
+            if let Some(txn) = epoch.txn.clone() {
+                assert!(txn.apply.len() <= ops, "{now:?} {next:?}: {} changes", txn.apply.len());
+                assert!(txn.guards.len() <= 4 * ops);
+                revision += 1;
+                for change in &txn.apply {
+                    let wire::Change::Set { path, value, .. } = change else { continue };
+                    let bytes = wire::stored_bytes(value);
+                    assert!(bytes as f64 <= kb * 1024.0, "{now:?} {next:?}: {path} has {bytes}");
+                    let stamp = Revision(revision);
+                    let item = Item { path: path.clone(), v: value.clone(), stamp };
+                    store.insert(path.clone(), item);
+                }
+                core.apply_own(&txn, Revision(revision));
+            }
+            granted.extend(epoch.grants.iter().map(|g| g.0));
+            core.publish(at(ms), epoch, term);
+            // Whoever leads next knows every machine and every task that may run.
+            if step % 40 == 39 {
+                let mut other = Core::new(core.settings.clone(), Incarnation(6));
+                let all: Vec<Item> = store.values().cloned().collect();
+                other.load(&all, Revision(revision));
+                let known = other.ledger.granted_before();
+                assert!(
+                    before.iter().chain(&granted).all(|t| known.contains(t)),
+                    "{now:?} {next:?}"
+                );
+                assert_eq!(other.ledger.machines, core.ledger.machines, "{now:?} {next:?}");
+            }
+        }
+        assert_eq!(core.ledger.machines.len(), 48, "{now:?} {next:?}: all machines are on record");
+        assert!(granted.len() > 90, "{now:?} {next:?}: {} grants", granted.len());
+    }
+}
+
+/// A leader that knows two machines of two places each, and a gang besides the job of the others.
+fn leader_with_gang(tasks: u32, edit: fn(&mut wire::JobSpec), speaks: u32) -> Core {
+    let mut core = leader();
+    let mut gang = wire::JobSpec { shape: Shape::Gang, one_zone: true, ..spec(7, tasks) };
+    edit(&mut gang);
+    let item = |path: String, v| Item { path, v, stamp: Revision(10) };
+    let member = ledger::MemberRecord { life: LIFE, version: String::new(), speaks };
+    let mut brought = Brought::default();
+    let accepted = Accepted { spec: gang, at: Wall(1_000_500) };
+    core.ledger.load(&item(ledger::job_key(JobId(7)), wire::to_value(&accepted)), &mut brought);
+    core.ledger.load(&item(ledger::member_key(NodeId(0)), wire::to_value(&member)), &mut brought);
+    core
+}
+
+/// What a machine shows of the gang.
+fn shows(id: &str, tasks: &[(u32, PieceStage)]) -> MachineView {
+    let task = |index| TaskId { job: JobId(7), index };
+    let tasks = tasks.iter().map(|(i, stage)| TaskView { task: task(*i), stage: *stage });
+    MachineView { tasks: tasks.collect(), ..view(id, true, &[]) }
+}
+
+/// Tasks of the gang that are granted now, and their attempt.
+fn granted_of(core: &Core) -> (usize, Option<Attempt>) {
+    let lead = core.lead.as_ref().unwrap();
+    let of: Vec<&Granted> =
+        lead.granted.iter().filter(|(t, _)| t.job == JobId(7)).map(|(_, g)| g).collect();
+    assert!(of.iter().all(|g| g.attempt == of[0].attempt), "one attempt for all");
+    (of.len(), of.first().and_then(|g| g.attempt))
+}
+
+#[test]
+fn a_gang_is_granted_whole_or_not_at_all() {
+    type Edit = fn(&mut wire::JobSpec);
+    // (what, tasks, what is special, what the controller understands, tasks granted)
+    let cases: [(&str, u32, Edit, u32, usize); 7] = [
+        ("fits", 3, |_| {}, 1, 3),
+        ("fills both machines", 4, |_| {}, 1, 4),
+        ("does not fit", 5, |_| {}, 1, 0),
+        ("anywhere", 4, |s| s.one_zone = false, 1, 4),
+        (
+            "half of it has to be in the other zone",
+            4,
+            |s| (s.one_zone, s.scatter) = (false, true),
+            1,
+            0,
+        ),
+        ("beyond the team's limit", 4, |s| s.vcpus = 8.5, 1, 0),
+        ("the controller does not know gangs", 3, |_| {}, 0, 0),
+    ];
+    for (what, tasks, edit, speaks, want) in cases {
+        let mut core = leader_with_gang(tasks, edit, speaks);
+        let idle = || vec![view("n-1", true, &[]), view("n-2", true, &[])];
+        tell(&mut core, 1_100, 0, vec![]);
+        core.ledger.jobs.remove(&JobId(1));
+        tell(&mut core, 1_300, 1, idle());
+        tell(&mut core, 1_500, 1, idle());
+        assert_eq!(granted_of(&core).0, want, "{what}");
+    }
+}
+
+#[test]
+fn a_gang_that_lost_a_task_is_stopped_and_begins_anew_once_all_are_gone() {
+    use PieceStage::{Running, Unknown, Waiting};
+    type Shown = &'static [(u32, PieceStage)];
+    // What n-1 and n-2 show next, and whether the gang is stopped then.
+    let cases: [(&str, Shown, Shown, bool); 5] = [
+        ("all run", &[(0, Running), (1, Running)], &[(2, Running)], false),
+        ("one fetches still", &[(0, Waiting), (1, Waiting)], &[(2, PieceStage::Fetching)], false),
+        ("a start was lost", &[(0, Waiting), (1, Waiting)], &[], false),
+        ("a start is on its way", &[(0, Waiting), (1, Waiting)], &[(2, Unknown)], false),
+        ("one is gone while others run", &[(0, Running), (1, Running)], &[], true),
+    ];
+    for (what, first, second, stopped) in cases {
+        let mut core = leader_with_gang(3, |_| {}, 1);
+        tell(&mut core, 1_100, 0, vec![]);
+        core.ledger.jobs.remove(&JobId(1));
+        let idle = || vec![view("n-1", true, &[]), view("n-2", true, &[])];
+        tell(&mut core, 1_300, 1, idle());
+        tell(&mut core, 1_500, 1, idle());
+        let attempt = granted_of(&core).1.unwrap();
+        let now = || vec![shows("n-1", first), shows("n-2", second)];
+        core.rights.confirm_renewal(Steady(1_700));
+        if stopped {
+            let all = [shows("n-1", &[(0, Running), (1, Running)]), shows("n-2", &[(2, Running)])];
+            tell(&mut core, 1_800, 2, all.to_vec());
+        }
+        tell(&mut core, 2_000, 2, now());
+        let stops = core.lead.as_ref().unwrap().stops();
+        assert_eq!(!stops.is_empty(), stopped, "{what}");
+        if !stopped {
+            continue;
+        }
+        assert!(stops[0].before > attempt && stops[0].leeway_ms == 0);
+        let plan = core.plan_for(NodeId(0), Steady(2_000)).unwrap().0;
+        assert_eq!(plan.body.unwrap().stops, stops, "parts are told");
+        // While any is left, whatever else is free, none starts: it would be beside the old ones.
+        for ms in [2_300, 2_600] {
+            assert!(!tell(
+                &mut core,
+                ms,
+                9,
+                vec![shows("n-1", &[(0, Running)]), shows("n-2", &[])]
+            ));
+            assert_eq!(granted_of(&core).0, 0, "{what}");
+        }
+        tell(&mut core, 3_000, 9, idle());
+        tell(&mut core, 3_200, 9, idle());
+        let (count, again) = granted_of(&core);
+        assert!(count == 3 && again.unwrap() >= stops[0].before, "a new attempt for all");
+    }
+}
+
+#[test]
+fn a_gang_whose_machine_is_taken_is_stopped_in_order_if_time_allows() {
+    // (milliseconds until n-2 is taken, time to save, interval of checkpoints, leeway of the stop)
+    let cases = [
+        (60_000, 3.0, 20.0, None),
+        (6_500, 3.0, 20.0, Some(8_000)),
+        (3_000, 3.0, 20.0, None),
+        (6_500, 3.0, 0.0, None),
+    ];
+    for (ms, stash_s, bookmark_s, want) in cases {
+        let mut core = leader_with_gang(3, |_| {}, 1);
+        if let Some(job) = core.ledger.jobs.get_mut(&JobId(7)) {
+            (job.spec.stash_s, job.spec.bookmark_s) = (stash_s, bookmark_s);
+        }
+        core.ledger.jobs.remove(&JobId(1));
+        tell(&mut core, 1_100, 0, vec![]);
+        let runs = PieceStage::Running;
+        let told = Summary {
+            node: NodeId(0),
+            number: 1_300,
+            followed: PlanSeq(1),
+            machines: vec![shows("n-1", &[(0, runs), (1, runs)]), shows("n-2", &[(2, runs)])],
+            answered: vec![(MachineId::new("n-1"), 0), (MachineId::new("n-2"), 0)],
+            notices: vec![(MachineId::new("n-2"), ms)],
+            ..summary(1, 0, LIFE)
+        };
+        core.take_summary(Steady(1_300), told);
+        core.epoch(at(1_300)).unwrap();
+        let stops = core.lead.as_ref().unwrap().stops();
+        assert_eq!(stops.first().map(|s| s.leeway_ms), want, "{ms} {stash_s} {bookmark_s}");
+    }
+}
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -274,3 +274,56 @@
         }
     }
 }
+
+#[test]
+fn a_gang_is_stopped_straight_away_and_in_answers_and_its_next_attempt_is_not() {
+    let mut core = node(0);
+    let seq = core.part.seq;
+    let with = |core: &mut Core, seq, stops| {
+        core.part.follow(Plan {
+            term: TERM,
+            life: LIFE,
+            seq,
+            clock_ms: 2,
+            heard: 0,
+            owners: OwnerNews { base: PlanSeq(1), ..OwnerNews::default() },
+            body: Some(PlanBody { stops, ..PlanBody::default() }),
+        })
+    };
+    core.rights.confirm_renewal(Steady(0));
+    core.rights.confirm_sync(Steady(0));
+    core.on_report(Steady(100), &report(1, 1, 3, Some(PieceStage::Running)));
+    // (attempts below that are stopped, leeway, what the task of attempt 7 gets)
+    let cases = [(7, 0, None), (8, 0, Some(0.0)), (8, 9_000, Some(9.0))];
+    for (i, (before, leeway_ms, want)) in cases.into_iter().enumerate() {
+        let stop = crate::peer::Stop { job: 1, before: Attempt(before), leeway_ms };
+        assert!(with(&mut core, PlanSeq(seq.0 + 1 + i as u64), vec![stop]));
+        let leeway = |orders: &[Order]| {
+            orders.iter().find_map(|o| match o {
+                Order::Kill { leeway_s, .. } => Some(*leeway_s),
+                _ => None,
+            })
+        };
+        let told = core.to_announce(Steady(200 + i as u64), 8);
+        assert_eq!(told.iter().find_map(|a| leeway(&a.orders)), want, "{before} direct");
+        let shown = report(1, 2 + i as u64, 3, Some(PieceStage::Running));
+        let ReportAnswer::Take(reply) = core.on_report(Steady(300 + i as u64), &shown) else {
+            panic!("refused");
+        };
+        assert_eq!(leeway(&reply.orders), want, "{before} in the answer");
+    }
+}
+
+#[test]
+fn if_one_task_of_a_gang_is_done_all_are() {
+    // Its machine may be lost before it tells, and nobody may start it again.
+    for (shape, done) in [(Shape::Gang, 2), (Shape::Sweep, 1)] {
+        let mut core = node(0);
+        if let Some(job) = core.ledger.jobs.get_mut(&JobId(1)) {
+            job.spec.shape = shape;
+        }
+        core.on_report(Steady(100), &report(1, 1, 3, Some(PieceStage::Ended)));
+        let finished = core.part.finished.get(&JobId(1)).map(|f| f.tasks.len());
+        assert_eq!(finished, Some(done), "{shape:?}");
+    }
+}
