--- a/tests/sim/main.rs
+++ b/tests/sim/main.rs
@@ -12,7 +12,7 @@
 use Fault::{
     Alone, Blink, BlinkAll, CancelAt, CrashAll, CrashLeader, CutNode, CutWorker, CutZones, Deaf,
     Hang, HangMany, LateCopies, LoseReplies, PeersRefuse, Reborn, RefuseStore, SlowStore,
-    StoreOutage, WorkerDies,
+    StoreOutage, Upgrade, WorkerDies,
 };
 
 /// Plays a day of 20 leases and expects that no rule breaks and that all that was asked for ends.
@@ -24,6 +24,7 @@
     world.run(faults, rhythm.lease_ms * 20);
     let name = format!("{name} {seed} {rhythm:?}");
     assert!(world.checker.broken.is_empty(), "{name}: {:?}", world.checker.broken);
+    assert!(world.too_large().is_empty(), "{name}: too large: {:?}", world.too_large());
     let open = world.unfinished();
     assert!(open.is_empty(), "{name}: not finished: {open:?}");
 }
@@ -177,6 +178,21 @@
     }
 }
 
+#[test]
+fn rules_hold_while_versions_are_exchanged_and_limits_fall() {
+    for seed in 300..330 {
+        for rhythm in [BRISK, SLOW] {
+            let mut faults = world::random_faults(seed, rhythm);
+            let roll = [(9_000, Upgrade(2)), (16_000, Upgrade(0)), (23_000, Upgrade(1))];
+            faults.extend(roll);
+            faults.sort_by_key(|f| f.0);
+            let mut world = World::upgraded(seed, rhythm);
+            world.limits_fall_at = 24_000 + seed % 20 * 1_000;
+            play_in(world, &format!("upgrade {faults:?}"), seed, rhythm, &faults);
+        }
+    }
+}
+
 #[test]
 fn the_checker_finds_broken_histories() {
     let start = |task, machine| Event::Starts { task, machine, team: 0, cores: 4, zone: None };
--- a/tests/sim/store.rs
+++ b/tests/sim/store.rs
@@ -4,7 +4,7 @@
 
 use willowshore::model::{Revision, StoreLease};
 use willowshore::state::Committed;
-use willowshore::wire::{Change, Changes, Item, News, Txn, Value};
+use willowshore::wire::{self, Change, Changes, Item, News, Txn, Value};
 
 #[derive(Default)]
 pub struct Store {
@@ -14,6 +14,10 @@
     revision: u64,
     next_lease: u64,
     down_until: u64,
+    /// Most bytes of a value and changes of a transaction, if they are limited.
+    pub limits: Option<(usize, usize)>,
+    /// What was refused for its size.
+    pub too_large: Vec<String>,
 }
 
 impl Store {
@@ -85,6 +89,18 @@
         if txn.apply.iter().any(ended) {
             return None;
         }
+        if let Some((bytes, ops)) = self.limits {
+            let size = |c: &Change| match c {
+                Change::Set { value, .. } => wire::stored_bytes(value),
+                Change::Drop { .. } => 0,
+            };
+            let large = txn.apply.iter().find(|c| size(c) > bytes);
+            if large.is_some() || txn.apply.len() > ops || txn.guards.len() > 4 * ops {
+                let what = large.map_or("a transaction", |c| c.path());
+                self.too_large.push(what.to_string());
+                return None;
+            }
+        }
         let stamp = |key: &str| self.items.get(key).map_or(0, |i| i.1);
         let failed: Vec<String> = txn
             .guards
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -99,6 +99,8 @@
     PeersRefuse(u64),
     /// The first so many machines hang together.
     HangMany(usize, u64),
+    /// A controller is exchanged for the new version.
+    Upgrade(usize),
 }
 
 struct Node {
@@ -174,6 +176,12 @@
     wanted_cancels: BTreeSet<u64>,
     /// Milliseconds between two submissions.
     every: u64,
+    /// Controllers that behave like the version before gangs.
+    old: [bool; 3],
+    /// Limits of the store to come, with which the new version is run.
+    next_limits: Option<(usize, usize)>,
+    /// When they begin to hold.
+    pub limits_fall_at: u64,
     /// Gangs that lost a task, and since when.
     broken_gangs: BTreeMap<(JobId, Attempt), u64>,
     /// Tasks of gangs that began to run.
@@ -222,6 +230,25 @@
     }
 }
 
+/// A member of the version before gangs does not say what it understands.
+fn forget_what_is_new(change: &mut willowshore::wire::Change) {
+    if let willowshore::wire::Change::Set { value: willowshore::wire::Value::Map(fields), .. } =
+        change
+    {
+        fields.retain(|(name, _)| name.as_text() == Some("life"));
+    }
+}
+
+/// What the version before gangs reads of a plan.
+fn read_by_old(tell: &mut Tell) {
+    if let Tell::Plan(plan) = tell
+        && let Some(body) = &mut plan.body
+    {
+        body.stops.clear();
+        body.kept.clear();
+    }
+}
+
 impl Fault {
     /// How long it lasts, with what it holds back.
     fn lasts(self) -> u64 {
@@ -310,6 +337,9 @@
             told: BTreeSet::new(),
             wanted_cancels: BTreeSet::new(),
             every: 3_500,
+            old: [false; 3],
+            next_limits: None,
+            limits_fall_at: u64::MAX,
             broken_gangs: BTreeMap::new(),
             gangs_begun: 0,
         }
@@ -329,6 +359,15 @@
         world
     }
 
+    /// The same, while an old version is exchanged for the new one and the store's limits fall at
+    /// that time.
+    pub fn upgraded(seed: u64, rhythm: Rhythm) -> Self {
+        let mut world = World::with_gangs(seed, rhythm);
+        world.old = [true; 3];
+        world.next_limits = Some((2_048, 4));
+        world
+    }
+
     /// A world in which more urgent work comes all the time than there is room for, beside one
     /// large job of lower rank.
     pub fn crowded(seed: u64) -> Self {
@@ -378,6 +417,11 @@
         }
     }
 
+    /// What the store refused for its size.
+    pub fn too_large(&self) -> &[String] {
+        &self.store.too_large
+    }
+
     /// Jobs that have neither been told done nor cancelled.
     pub fn unfinished(&self) -> Vec<u64> {
         self.jobs.keys().filter(|j| !self.told.contains(j)).copied().collect()
@@ -450,6 +494,10 @@
                 rest.insert(Place::Store);
                 self.cut([Place::Node(node)].into(), rest, ms, hold);
             }
+            Fault::Upgrade(n) => {
+                self.old[n] = false;
+                self.crash(n, BACK_MS);
+            }
             Fault::CancelAt(job) => {
                 self.wanted_cancels.insert(job);
             }
@@ -511,6 +559,9 @@
 
     fn step(&mut self) {
         let now = self.now;
+        if now >= self.limits_fall_at {
+            self.store.limits = self.next_limits;
+        }
         self.store.tick(now);
         let due: Vec<Txn> = {
             let (due, late) = std::mem::take(&mut self.late).into_iter().partition(|l| l.0 <= now);
@@ -661,7 +712,10 @@
                 let Ok(node) = &mut self.nodes[to] else { return };
                 let steady = node.moment(now).steady;
                 node.core.peer_heard = steady;
-                let (tell, _) = node.core.take_summary(steady, *summary);
+                let (mut tell, _) = node.core.take_summary(steady, *summary);
+                if self.old[from] || self.old[to] {
+                    read_by_old(&mut tell);
+                }
                 self.largest[0] = self.largest[0].max(peer::encode(&tell).len());
                 self.send(Place::Node(to), Place::Node(from), Message::Tell(from, tell));
             }
@@ -693,6 +747,11 @@
                     text = text.replacen("\"host-0\"\nsite = \"b\"", "\"host-0\"\nsite = \"a\"", 1);
                 }
             }
+            if let Some((bytes, ops)) = self.next_limits.filter(|_| !self.old[n]) {
+                let kb = bytes as f64 / 1024.0;
+                let next = format!("[params.state.next]\nvalue_kb = {kb:.1}\ntxn_ops = {ops}\n");
+                text += &next;
+            }
             let settings = Rc::new(Settings::parse(&text).unwrap());
             let mut core = Core::new(settings, Incarnation(self.lives));
             assert_eq!(core.me, NodeId(n as u8));
@@ -773,7 +832,10 @@
             return;
         }
         let lease = self.store.grant(now, LEASE_MS);
-        let txn = node.core.member_txn(lease);
+        let mut txn = node.core.member_txn(lease);
+        if self.old[n] {
+            txn.apply.iter_mut().for_each(forget_what_is_new);
+        }
         let done = self.commit(n, &txn);
         if let (Some(Committed::Yes(_)), Ok(node)) = (done, &mut self.nodes[n]) {
             node.core.rights.lease = Some(lease);
@@ -944,7 +1006,9 @@
             if self.store.has(&willowshore::ledger::job_key(JobId(id))) {
                 self.checker.see(now, Event::Accepted { job: id });
             }
-            if now >= id * self.every && !self.told.contains(&id) {
+            let gang = self.jobs[&id].shape == Shape::Gang;
+            let may = !gang || self.old == [false; 3];
+            if may && now >= id * self.every && !self.told.contains(&id) {
                 let n = self.rng.random_range(0..3);
                 self.ask(n, id);
             }
