--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -151,9 +151,9 @@
 
 /// What is kept of ordinary cores for gangs that may not use spot machines: their mean and so many
 /// deviations, over that time, and room for so many of the largest at any time.
-const GANG_DEVIATIONS: f64 = 1.5;
+const GANG_DEVIATIONS: f64 = 2.0;
 const GANGS_OVER_S: f64 = 120.0;
-const LARGEST_GANGS: f64 = 2.0;
+const LARGEST_GANGS: f64 = 4.0;
 
 /// The decision.
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -7,6 +7,7 @@
 //! losing a controller or moving a machine takes a new term of the same leader.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::rc::Rc;
 
 use rustc_hash::{FxHashMap, FxHashSet};
 
@@ -151,6 +152,8 @@
     halts: BTreeMap<JobId, gang::Halt>,
     /// Machines that are kept for gangs which may not use spot machines.
     kept: Vec<MachineId>,
+    /// Images of such gangs, and when one that needs it was last open.
+    gang_images: FxHashMap<Rc<str>, Steady>,
 }
 
 impl Epoch {
@@ -201,6 +204,7 @@
             gangs: FxHashMap::default(),
             halts: BTreeMap::new(),
             kept: Vec::new(),
+            gang_images: FxHashMap::default(),
         };
         if let Some((load, _)) = &ledger.load {
             lead.market.load = load.clone();
@@ -220,6 +224,7 @@
             lead.market = old.market;
             lead.runs = old.runs;
             lead.speeds = old.speeds;
+            lead.gang_images = old.gang_images;
         }
         lead
     }
--- a/src/lead/gang.rs
+++ b/src/lead/gang.rs
@@ -24,6 +24,9 @@
 /// How long a stop is left to work before the tasks that are still there are ended at once.
 const STOP_AGAIN_MS: u64 = 3_000;
 
+/// How long the images of gangs that may not use spot machines count as wanted after the last one.
+const IMAGES_KEPT_MS: u64 = 300_000;
+
 /// A gang that was granted in this term.
 #[derive(Clone, Debug)]
 pub(super) struct Gang {
@@ -291,6 +294,12 @@
                 used += cores;
             }
         }
+        for job in ctx.ledger.jobs.values() {
+            if job.spec.shape == Shape::Gang && !job.spec.loaners {
+                self.gang_images.insert(job.spec.bundle.clone(), ctx.now);
+            }
+        }
+        self.gang_images.retain(|_, at| ctx.now.since(*at) < IMAGES_KEPT_MS);
         let wanted = self.market.headroom(Cores(used).amount());
         self.kept.clear();
         if wanted <= 0.0 {
@@ -303,7 +312,14 @@
         for r in rooms.iter().filter(|r| r.open && !r.spot) {
             *zones.entry(&*r.zone).or_default() += offered(r).0;
         }
-        let first = zones.iter().max_by_key(|(_, c)| **c).map(|(z, _)| z.to_string());
+        // The zone stays as long as it is not much the smaller one: its machines have the images.
+        let largest = zones.iter().max_by_key(|(_, c)| **c);
+        let before = self.market.gang_zone.take();
+        let stays = before.filter(|z| {
+            let here = zones.get(z.as_str()).copied().unwrap_or(0);
+            largest.is_some_and(|(_, c)| here * 2 > *c)
+        });
+        let first = stays.or_else(|| largest.map(|(z, _)| z.to_string()));
         self.market.gang_zone = first.clone();
         let mut order: Vec<usize> = (0..rooms.len())
             .filter(|&i| rooms[i].open && !rooms[i].spot && speaks(&rooms[i]))
@@ -312,7 +328,9 @@
             let r = &rooms[i];
             let near = first.as_deref() == Some(&*r.zone);
             let mine = in_use.get(&r.id).copied().unwrap_or(0);
-            (std::cmp::Reverse((near, mine > 0, offered(r), r.free.cores)), r.id.clone())
+            // What gangs need again is there already.
+            let warm = r.images.iter().filter(|(i, _)| self.gang_images.contains_key(i)).count();
+            (std::cmp::Reverse((near, warm, mine > 0, offered(r), r.free.cores)), r.id.clone())
         });
         let mut free = 0.0;
         for i in order {
--- a/src/lead/tests.rs
+++ b/src/lead/tests.rs
@@ -10,7 +10,6 @@
 use crate::place::tests::flavor;
 use crate::wire::Item;
 use crate::wire::tests::spec;
-use std::rc::Rc;
 
 const LIFE: Incarnation = Incarnation(5);
 
