--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -34,7 +34,7 @@
     pub free: Need,
     /// Seconds since something ran on it; 0 if something does.
     pub idle_s: f64,
-    /// Whether it is kept for gangs that may not use spot machines.
+    /// Whether it is kept for gangs.
     pub kept: bool,
     /// Whether it is about to go: taken by the cloud, being drained, or silent.
     pub leaving: bool,
@@ -64,8 +64,8 @@
     at: Steady,
     spare_since: Option<Steady>,
     gangs_at: Steady,
-    /// The zone where gangs that may not use spot machines mostly run.
-    pub gang_zone: Option<String>,
+    /// The zone where room is kept for gangs, or both zones if some have to be spread.
+    pub gang_zones: Vec<String>,
 }
 
 /// What brief work would use; kept in the store for the next leader.
@@ -81,12 +81,40 @@
     /// The highest of urgent brief work, fading fast and slowly.
     peak: f64,
     slow_peak: f64,
-    /// Cores that gangs which may not use spot machines would use if all began on arrival, and the
-    /// largest of them, fading.
+    /// Gangs that may not use spot machines, and those that may.
     #[serde(default)]
-    gangs: Average,
+    gangs: GangLoad,
     #[serde(default)]
-    largest_gang: f64,
+    loose_gangs: GangLoad,
+}
+
+/// What gangs would use.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct GangLoad {
+    /// Cores if all began on arrival.
+    cores: Average,
+    /// Cores of the largest, fading.
+    largest: f64,
+}
+
+impl GangLoad {
+    fn note(&mut self, cores: Cores, largest: Cores, dt: f64) {
+        if cores > Cores(0) || self.cores.weight > 0.0 {
+            self.cores.note(cores.amount(), (-dt / GANGS_OVER_S).exp());
+        }
+        let faded = self.largest * 0.5f64.powf(dt / SLOW_PEAK_HALVES_S);
+        self.largest = faded.max(largest.amount());
+    }
+
+    fn headroom(&self, in_use: f64) -> f64 {
+        let mean = self.cores.mean();
+        // Where gangs are rare, nothing is kept idle for the next one.
+        if self.largest <= 0.0 || mean < self.largest * RARE_PART {
+            return 0.0;
+        }
+        let ready = mean + GANG_DEVIATIONS * self.cores.deviation();
+        (ready - in_use).max(self.largest * LARGEST_GANGS)
+    }
 }
 
 /// Mean and spread of an amount over time, old values fading.
@@ -149,11 +177,12 @@
 const READY_ANY: f64 = 0.5;
 const READY_MEAN: f64 = 1.1;
 
-/// What is kept of ordinary cores for gangs that may not use spot machines: their mean and so many
-/// deviations, over that time, and room for so many of the largest at any time.
+/// What is kept for gangs: their mean and so many deviations, over that time, and room for so many of
+/// the largest at any time; nothing if their mean is below that part of the largest.
 const GANG_DEVIATIONS: f64 = 2.0;
 const GANGS_OVER_S: f64 = 120.0;
 const LARGEST_GANGS: f64 = 4.0;
+const RARE_PART: f64 = 0.125;
 
 /// The decision.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -187,30 +216,19 @@
         load.slow_peak = fade(load.slow_peak, SLOW_PEAK_HALVES_S);
     }
 
-    /// Notes the cores that gangs which may not use spot machines would use, and the largest of them.
-    pub fn note_gangs(&mut self, now: Steady, cores: Cores, largest: Cores) {
+    /// Notes the cores that gangs would use, and the largest of them: those that may not use spot
+    /// machines, and those that may.
+    pub fn note_gangs(&mut self, now: Steady, firm: (Cores, Cores), loose: (Cores, Cores)) {
         let dt = (now.since(self.gangs_at) as f64 / 1000.0).min(5.0);
         self.gangs_at = now;
-        let load = &mut self.load;
-        if cores > Cores(0) || load.gangs.weight > 0.0 {
-            load.gangs.note(cores.amount(), (-dt / GANGS_OVER_S).exp());
-        }
-        let faded = load.largest_gang * 0.5f64.powf(dt / SLOW_PEAK_HALVES_S);
-        load.largest_gang = faded.max(largest.amount());
-        if load.largest_gang < 0.05 {
-            load.largest_gang = 0.0;
-        }
+        self.load.gangs.note(firm.0, firm.1, dt);
+        self.load.loose_gangs.note(loose.0, loose.1, dt);
     }
 
-    /// Ordinary cores that are to stay free for gangs which may not use spot machines, when they use
-    /// so many.
-    pub fn headroom(&self, in_use: f64) -> f64 {
-        let load = &self.load;
-        if load.largest_gang <= 0.0 {
-            return 0.0;
-        }
-        let ready = load.gangs.mean() + GANG_DEVIATIONS * load.gangs.deviation();
-        (ready - in_use).max(load.largest_gang * LARGEST_GANGS)
+    /// Cores that are to stay free for gangs that may use spot machines or may not, when they use so many.
+    pub fn headroom(&self, loose: bool, in_use: f64) -> f64 {
+        let load = if loose { &self.load.loose_gangs } else { &self.load.gangs };
+        load.headroom(in_use)
     }
 
     /// Notes whether machines could be done without.
@@ -267,12 +285,9 @@
     for want in wants.iter().filter(|w| w.spec.shape == Shape::Gang && w.tasks > 0) {
         rent_for_gang(flavors, want, &any, &mut bins, &mut rent, &per_zone);
     }
-    let gangs_in_use: f64 = wants
-        .iter()
-        .filter(|w| w.spec.shape == Shape::Gang && !w.spec.loaners)
-        .map(|w| Need::of(w.spec).cores.amount() * f64::from(w.running))
-        .sum();
-    keep_ready(flavors, wants, market, gangs_in_use, &any, &mut bins, &mut rent, &per_zone);
+    for loose in [false, true] {
+        keep_ready(flavors, wants, market, loose, &any, &mut bins, &mut rent, &per_zone);
+    }
     let others = |w: &Want<'_>| !w.brief && w.spec.shape != Shape::Gang;
     for (want, queue_s) in wants.iter().zip(&queues).filter(|(w, _)| others(w)) {
         // What waits for a short time only is not worth an ordinary machine.
@@ -283,7 +298,7 @@
     // What is free or brief work already has counts for the cores kept ready for it.
     let in_use: f64 = wants
         .iter()
-        .filter(|w| w.brief && (w.spec.shape != Shape::Gang || w.spec.loaners))
+        .filter(|w| w.brief && w.spec.shape != Shape::Gang)
         .map(|w| Need::of(w.spec).cores.amount() * f64::from(w.running))
         .sum();
     let models = wants.iter().filter(|w| w.brief && w.spec.shape != Shape::Gang);
@@ -336,7 +351,7 @@
 impl Bin {
     fn takes(&self, spec: &JobSpec) -> bool {
         allowed(spec, &self.offer.hull, &self.offer.zone, self.offer.spot)
-            && !(self.kept && spec.loaners)
+            && !(self.kept && spec.loaners && spec.shape != Shape::Gang)
     }
 }
 
@@ -380,29 +395,38 @@
     }
 }
 
-/// Ordinary cores for gangs that may not use spot machines, to be there when they come.
+/// Cores for gangs, to be there when they come: for those that may use spot machines, or may not.
 #[allow(clippy::too_many_arguments)]
 fn keep_ready(
     flavors: &Flavors,
     wants: &[Want<'_>],
     market: &Market,
-    in_use: f64,
+    loose: bool,
     to_be_had: &dyn Fn(&Offer) -> bool,
     bins: &mut Vec<Bin>,
     rent: &mut BTreeMap<Offer, u32>,
     per_zone: &dyn Fn(&str) -> usize,
 ) {
-    let firm = |w: &&Want<'_>| w.spec.shape == Shape::Gang && !w.spec.loaners;
-    let Some(model) = wants.iter().filter(firm).max_by_key(|w| w.tasks + w.running) else {
-        return;
-    };
-    let each = Need::of(model.spec).cores.amount().max(0.001);
-    let tasks = (market.headroom(in_use) / each).ceil() as u32;
-    let ready = Want { tasks, ..model.clone() };
-    let near = |o: &Offer| market.gang_zone.as_ref().is_none_or(|z| *z == o.zone) && to_be_had(o);
-    let left = rent_for(flavors, &ready, &near, bins, rent, per_zone);
+    let gangs = || wants.iter().filter(|w| w.spec.shape == Shape::Gang && w.spec.loaners == loose);
+    let cores = |w: &Want<'_>| Need::of(w.spec).cores.amount();
+    let in_use: f64 = gangs().map(|w| cores(w) * f64::from(w.running)).sum();
+    let Some(model) = gangs().max_by_key(|w| w.tasks + w.running) else { return };
+    let zones = &market.gang_zones;
+    let tasks = (market.headroom(loose, in_use) / cores(model).max(0.001)).ceil() as u32;
+    let parts = zones.len().max(1) as u32;
+    let mut left = 0;
+    for k in 0..parts {
+        let zone = zones.get(k as usize);
+        let near = |o: &Offer| zone.is_none_or(|z| *z == o.zone) && to_be_had(o);
+        let here = Want { tasks: tasks / parts + u32::from(k < tasks % parts), ..model.clone() };
+        let (mut inside, outside): (Vec<Bin>, Vec<Bin>) =
+            bins.iter().cloned().partition(|b| zone.is_none_or(|z| *z == b.offer.zone));
+        left += rent_for(flavors, &here, &near, &mut inside, rent, per_zone);
+        inside.extend(outside);
+        *bins = inside;
+    }
     if left > 0 {
-        rent_for(flavors, &Want { tasks: left, ..ready }, to_be_had, bins, rent, per_zone);
+        rent_for(flavors, &Want { tasks: left, ..model.clone() }, to_be_had, bins, rent, per_zone);
     }
 }
 
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -150,10 +150,12 @@
     /// Gangs granted in this term, and those that are being stopped.
     gangs: FxHashMap<JobId, gang::Gang>,
     halts: BTreeMap<JobId, gang::Halt>,
-    /// Machines that are kept for gangs which may not use spot machines.
+    /// Machines that are kept for gangs.
     kept: Vec<MachineId>,
-    /// Images of such gangs, and when one that needs it was last open.
+    /// Images of gangs, and when one that needs it was last open.
     gang_images: FxHashMap<Rc<str>, Steady>,
+    /// When a gang that has to be spread over zones was last open.
+    spread_gangs: Option<Steady>,
 }
 
 impl Epoch {
@@ -205,6 +207,7 @@
             halts: BTreeMap::new(),
             kept: Vec::new(),
             gang_images: FxHashMap::default(),
+            spread_gangs: None,
         };
         if let Some((load, _)) = &ledger.load {
             lead.market.load = load.clone();
@@ -684,7 +687,7 @@
                 }
             }
             // What is kept for such gangs is of no use to others.
-            let kept_for = gang && !job.spec.loaners && tries > 0;
+            let kept_for = gang && tries > 0;
             demands.push(Demand {
                 job: *id,
                 rank,
@@ -715,7 +718,8 @@
         let granting: FxHashSet<TaskId> = epoch.grants.iter().map(|g| g.0).collect();
         let mut wants: Vec<Want<'_>> = Vec::new();
         let (mut brief_cores, mut urgent, mut long) = (Cores(0), Cores(0), Cores(0));
-        let (mut gang_cores, mut largest) = (Cores(0), Cores(0));
+        // Gangs that may not use spot machines, and those that may: all, and the largest.
+        let mut gangs = [(Cores(0), Cores(0)); 2];
         let mut team_room: HashMap<&str, u64> = HashMap::new();
         for t in &ctx.settings.params.teams {
             let limit = t.core_limit().map_or(u64::MAX, |c| c.0);
@@ -739,16 +743,17 @@
             let run_s = self.run_s(job);
             let brief = capacity::is_brief(ctx.flavors, &job.spec, run_s);
             let age_ms = waited_ms(ctx, job) as f64;
-            if job.spec.shape == Shape::Gang && !job.spec.loaners {
+            let gang = job.spec.shape == Shape::Gang;
+            if gang {
                 let cores = Cores(need.cores.0 * u64::from(job.spec.pieces));
+                let (sum, largest) = &mut gangs[usize::from(job.spec.loaners)];
                 // It counts from its arrival for as long as it runs, wherever it is.
                 if age_ms < run_s * 1000.0 {
-                    gang_cores.0 += cores.0;
+                    sum.0 += cores.0;
                 }
-                largest = largest.max(cores);
+                *largest = cores.max(*largest);
             }
-            let firm = job.spec.shape == Shape::Gang && !job.spec.loaners;
-            if brief && !firm && age_ms < run_s * 1000.0 {
+            if brief && !gang && age_ms < run_s * 1000.0 {
                 let cores = need.cores.0 * u64::from(job.spec.pieces).min(can);
                 brief_cores.0 += cores;
                 urgent.0 += if job.spec.urgency <= Urgency::High { cores } else { 0 };
@@ -766,7 +771,7 @@
             });
         }
         self.market.note(now, brief_cores, urgent, long);
-        self.market.note_gangs(now, gang_cores, largest);
+        self.market.note_gangs(now, gangs[0], gangs[1]);
         let free: HashMap<&MachineId, &Room> = rooms.iter().map(|r| (&r.id, r)).collect();
         let machines: Vec<Held> = fleet
             .machines
--- a/src/lead/gang.rs
+++ b/src/lead/gang.rs
@@ -7,12 +7,12 @@
 
 use std::collections::BTreeMap;
 
-use rustc_hash::FxHashMap;
+use rustc_hash::FxHashSet;
 
 use super::{Context, Filling, Granted, Lead, Revoked, ZoneRule};
 use crate::fleet::{Fleet, OnMachines};
 use crate::ledger::Job;
-use crate::model::{Attempt, Cores, JobId, PlanSeq, Steady, TaskId};
+use crate::model::{Attempt, Cores, JobId, MachineId, PlanSeq, Steady, TaskId};
 use crate::peer::{Stop, Waits};
 use crate::place::{self, Need, Room};
 use crate::wire::{PieceStage, Shape};
@@ -24,7 +24,7 @@
 /// How long a stop is left to work before the tasks that are still there are ended at once.
 const STOP_AGAIN_MS: u64 = 3_000;
 
-/// How long the images of gangs that may not use spot machines count as wanted after the last one.
+/// How long the images of gangs count as wanted after the last one.
 const IMAGES_KEPT_MS: u64 = 300_000;
 
 /// A gang that was granted in this term.
@@ -274,9 +274,8 @@
         self.halts.values().map(|h| h.stop).collect()
     }
 
-    /// Marks the machines that are kept for gangs which may not use spot machines: so much stays
-    /// free there, on as few machines as hold it, in one zone as far as that goes. Work that may
-    /// go elsewhere takes nothing there.
+    /// Marks the machines that are kept for gangs: so much stays free there, on as few machines as
+    /// hold it, in one zone as far as that goes. Work that may go elsewhere takes nothing there.
     pub(super) fn keep_for_gangs(
         &mut self,
         ctx: &Context<'_>,
@@ -284,65 +283,85 @@
         on: &OnMachines<'_>,
         rooms: &mut [Room],
     ) {
-        let mut in_use: FxHashMap<&crate::model::MachineId, u64> = FxHashMap::default();
-        let mut used = 0;
-        for (t, seen) in on {
-            let Some(job) = ctx.ledger.jobs.get(&t.job) else { continue };
-            if job.spec.shape == Shape::Gang && !job.spec.loaners {
-                let cores = Need::of(&job.spec).cores.0;
-                *in_use.entry(&seen.machine.id).or_default() += cores;
-                used += cores;
-            }
-        }
-        for job in ctx.ledger.jobs.values() {
-            if job.spec.shape == Shape::Gang && !job.spec.loaners {
-                self.gang_images.insert(job.spec.bundle.clone(), ctx.now);
+        self.kept.clear();
+        for job in ctx.ledger.jobs.values().filter(|j| j.spec.shape == Shape::Gang) {
+            self.gang_images.insert(job.spec.bundle.clone(), ctx.now);
+            if job.spec.scatter {
+                self.spread_gangs = Some(ctx.now);
             }
         }
         self.gang_images.retain(|_, at| ctx.now.since(*at) < IMAGES_KEPT_MS);
-        let wanted = self.market.headroom(Cores(used).amount());
-        self.kept.clear();
-        if wanted <= 0.0 {
+        self.spread_gangs.take_if(|at| ctx.now.since(*at) >= IMAGES_KEPT_MS);
+        if self.gang_images.is_empty() {
             return;
         }
-        let speaks = |r: &Room| fleet.owners.get(&r.id).is_some_and(|(n, _)| ctx.ledger.speaks(*n));
+        let mut used = [0u64; 2];
+        let mut hosts: FxHashSet<&MachineId> = FxHashSet::default();
+        for (t, seen) in on {
+            let Some(job) = ctx.ledger.jobs.get(&t.job) else { continue };
+            if job.spec.shape == Shape::Gang {
+                used[usize::from(job.spec.loaners)] += Need::of(&job.spec).cores.0;
+                hosts.insert(&seen.machine.id);
+            }
+        }
         let offered =
             |r: &Room| ctx.flavors.get(&*r.hull).map_or(Cores(0), |f| Cores::offer(f.vcpus));
-        let mut zones: BTreeMap<&str, u64> = BTreeMap::new();
-        for r in rooms.iter().filter(|r| r.open && !r.spot) {
-            *zones.entry(&*r.zone).or_default() += offered(r).0;
-        }
-        // The zone stays as long as it is not much the smaller one: its machines have the images.
-        let largest = zones.iter().max_by_key(|(_, c)| **c);
-        let before = self.market.gang_zone.take();
-        let stays = before.filter(|z| {
-            let here = zones.get(z.as_str()).copied().unwrap_or(0);
-            largest.is_some_and(|(_, c)| here * 2 > *c)
-        });
-        let first = stays.or_else(|| largest.map(|(z, _)| z.to_string()));
-        self.market.gang_zone = first.clone();
-        let mut order: Vec<usize> = (0..rooms.len())
-            .filter(|&i| rooms[i].open && !rooms[i].spot && speaks(&rooms[i]))
-            .collect();
-        order.sort_by_key(|&i| {
-            let r = &rooms[i];
-            let near = first.as_deref() == Some(&*r.zone);
-            let mine = in_use.get(&r.id).copied().unwrap_or(0);
-            // What gangs need again is there already.
-            let warm = r.images.iter().filter(|(i, _)| self.gang_images.contains_key(i)).count();
-            (std::cmp::Reverse((near, warm, mine > 0, offered(r), r.free.cores)), r.id.clone())
-        });
-        let mut free = 0.0;
-        for i in order {
-            if free >= wanted {
-                break;
+        let speaks = |r: &Room| fleet.owners.get(&r.id).is_some_and(|(n, _)| ctx.ledger.speaks(*n));
+        for loose in [false, true] {
+            let may = |r: &Room| r.open && !r.kept && (loose || !r.spot) && speaks(r);
+            let wanted = self.market.headroom(loose, Cores(used[usize::from(loose)]).amount());
+            if wanted <= 0.0 {
+                continue;
+            }
+            let mut zones: BTreeMap<&str, u64> = BTreeMap::new();
+            for r in rooms.iter().filter(|r| may(r)) {
+                *zones.entry(&*r.zone).or_default() += offered(r).0;
+            }
+            let zones = self.gang_zones(&zones);
+            let mut order: Vec<usize> = (0..rooms.len()).filter(|&i| may(&rooms[i])).collect();
+            order.sort_by_key(|&i| {
+                let r = &rooms[i];
+                // What gangs need again is there already.
+                let warm = r.images.iter().filter(|(i, _)| self.gang_images.contains_key(i));
+                let rank = (warm.count(), hosts.contains(&r.id), offered(r), r.free.cores);
+                (std::cmp::Reverse(rank), r.id.clone())
+            });
+            let mut lacking = wanted;
+            let each = wanted / zones.len().max(1) as f64;
+            let places = zones.iter().map(|z| (Some(z.as_str()), each));
+            for (zone, most) in places.chain([(None, wanted)]) {
+                let mut here = most.min(lacking);
+                for &i in &order {
+                    let r = &mut rooms[i];
+                    if here <= 0.0 || r.kept || zone.is_some_and(|z| z != &*r.zone) {
+                        continue;
+                    }
+                    here -= r.free.cores.amount();
+                    lacking -= r.free.cores.amount();
+                    r.kept = true;
+                    self.kept.push(r.id.clone());
+                }
             }
-            free += rooms[i].free.cores.amount();
-            rooms[i].kept = true;
-            self.kept.push(rooms[i].id.clone());
+            self.market.gang_zones = zones;
         }
         self.kept.sort();
     }
+
+    /// The zone where room is kept for gangs: the one with most machines. It stays as long as it is
+    /// not much the smaller one, as its machines have the images. Both, if some have to be spread.
+    fn gang_zones(&self, zones: &BTreeMap<&str, u64>) -> Vec<String> {
+        let mut largest: Vec<(&str, u64)> = zones.iter().map(|(z, c)| (*z, *c)).collect();
+        largest.sort_by_key(|(_, c)| std::cmp::Reverse(*c));
+        let most = largest.first().map_or(0, |l| l.1);
+        let before = self.market.gang_zones.first();
+        if let Some(i) =
+            before.and_then(|b| largest.iter().position(|(z, c)| z == b && c * 2 > most))
+        {
+            largest[..=i].rotate_right(1);
+        }
+        let count = if self.spread_gangs.is_some() { 2 } else { 1 };
+        largest.into_iter().take(count).map(|(z, _)| z.to_string()).collect()
+    }
 }
 
 /// Machines for a gang's tasks: in one zone if the job wants that, where all can begin first.
@@ -352,7 +371,7 @@
     need: &Need,
     rooms: &[Room],
     may: &[bool],
-    mut zones: ZoneRule,
+    zones: ZoneRule,
     count: usize,
 ) -> Option<Vec<usize>> {
     let names = &ctx.settings.params.zones;
@@ -365,18 +384,25 @@
             open.iter().filter_map(|z| place::pack(&job.spec, need, rooms, may, Some(z), count));
         return found.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, chosen)| chosen);
     }
-    // Spread: so many in each zone as the rule allows, the emptiest first.
-    let mut rooms: Vec<Room> = rooms.to_vec();
-    for (room, may) in rooms.iter_mut().zip(may) {
-        room.open &= may;
-    }
-    let mut chosen = Vec::new();
-    while chosen.len() < count {
-        let open = zones.open(names);
-        let i = open.iter().find_map(|z| place::choose(&job.spec, need, &rooms, Some(z)))?;
-        rooms[i].add(&job.spec, need);
-        zones.count(&rooms[i].zone);
-        chosen.push(i);
+    // Spread: as many in one zone as the rule allows, the rest in another.
+    let most = zones.most_per_zone.unwrap_or(u32::MAX);
+    let left = |z: &str| most.saturating_sub(zones.counts.get(z).copied().unwrap_or(0)) as usize;
+    let mut best: Option<(f64, Vec<usize>)> = None;
+    for (first, second) in names.iter().flat_map(|a| names.iter().map(move |b| (a, b))) {
+        let here = left(first).min(count);
+        let rest = count - here;
+        if (rest > 0 && first == second) || rest > left(second) {
+            continue;
+        }
+        let in_zone = |z: &str, n| match n {
+            0 => Some((0.0, Vec::new())),
+            _ => place::pack(&job.spec, need, rooms, may, Some(z), n),
+        };
+        let (Some(a), Some(b)) = (in_zone(first, here), in_zone(second, rest)) else { continue };
+        let when = a.0.max(b.0);
+        if best.as_ref().is_none_or(|b| when < b.0) {
+            best = Some((when, [a.1, b.1].concat()));
+        }
     }
-    Some(chosen)
+    best.map(|(_, chosen)| chosen)
 }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -256,7 +256,7 @@
     /// Gangs that are to be stopped wherever their tasks are.
     #[serde(default)]
     pub stops: Vec<Stop>,
-    /// Machines that are kept for work which may not use spot machines.
+    /// Machines that are kept for gangs, and for work that may not use spot machines.
     #[serde(default)]
     pub kept: Vec<MachineId>,
 }
--- a/src/place.rs
+++ b/src/place.rs
@@ -9,7 +9,7 @@
 
 use crate::ledger::Ledger;
 use crate::model::{Cores, MachineId, TaskId};
-use crate::wire::{Flavor, JobSpec, PieceStage};
+use crate::wire::{Flavor, JobSpec, PieceStage, Shape};
 
 /// Machine types by name, with what their machines offer.
 pub type Flavors = HashMap<String, Flavor>;
@@ -88,7 +88,7 @@
     pub open: bool,
     /// Whether tasks take much longer here than elsewhere.
     pub slow: bool,
-    /// Whether it is kept for work that may not use spot machines.
+    /// Whether it is kept for gangs, and for work that may not use spot machines.
     pub kept: bool,
 }
 
@@ -96,7 +96,7 @@
     /// Whether a task of the job may start here now.
     pub fn takes(&self, spec: &JobSpec, need: &Need, zone: Option<&str>) -> bool {
         self.open
-            && !(self.kept && spec.loaners)
+            && !(self.kept && spec.loaners && spec.shape != Shape::Gang)
             && need.fits(&self.free)
             && zone.is_none_or(|z| *z == *self.zone)
             && allowed(spec, &self.hull, &self.zone, self.spot)
@@ -262,7 +262,8 @@
 ) -> Option<(f64, Vec<usize>)> {
     let wait = |r: &Room| {
         let slow = if r.slow { spec.guess_s * SLOW_PART } else { 0.0 };
-        r.fetch_s(spec) + r.delay_s + slow
+        let dear = if spec.loaners && !r.spot { spec.guess_s * ORDINARY_PART } else { 0.0 };
+        r.fetch_s(spec) + r.delay_s + slow + dear
     };
     let mut open: Vec<(f64, usize, usize)> = rooms
         .iter()
