--- a/src/lead.rs
+++ b/src/lead.rs
@@ -528,7 +528,7 @@
     /// Keeps machines from others that jobs need which have waited long and fit nowhere: else
     /// small tasks would take every core that a large one waits for.
     fn hold_back(
-        &self,
+        &mut self,
         ctx: &Context<'_>,
         demands: &[Demand],
         counts: &FxHashMap<JobId, (u32, u32)>,
@@ -545,10 +545,18 @@
                 }
                 continue;
             }
-            if held >= STARVED_ROOMS
-                || !starved(ctx, job, running)
-                || filling.rooms.iter().any(|r| r.takes(&job.spec, &need, None))
-            {
+            let fits = |r: &Room| r.takes(&job.spec, &need, None);
+            if !starved(ctx, job, running) || filling.rooms.iter().any(fits) {
+                continue;
+            }
+            // What is kept for gangs is not kept from work that has waited long.
+            let free = |r: &&mut Room| r.holds(&job.spec, &need, None);
+            if let Some(room) = filling.rooms.iter_mut().find(free) {
+                room.kept = false;
+                self.kept.retain(|id| *id != room.id);
+                continue;
+            }
+            if held >= STARVED_ROOMS {
                 continue;
             }
             let could = |r: &Room| {
--- a/src/lead/gang.rs
+++ b/src/lead/gang.rs
@@ -24,6 +24,9 @@
 /// How long a stop is left to work before the tasks that are still there are ended at once.
 const STOP_AGAIN_MS: u64 = 3_000;
 
+/// Most of all cores that are kept free for gangs.
+const MOST_KEPT: f64 = 0.25;
+
 /// How long the images of gangs count as wanted after the last one.
 const IMAGES_KEPT_MS: u64 = 300_000;
 
@@ -306,10 +309,13 @@
         }
         let offered =
             |r: &Room| ctx.flavors.get(&*r.hull).map_or(Cores(0), |f| Cores::offer(f.vcpus));
+        let open = rooms.iter().filter(|r| r.open).map(|r| offered(r).amount()).sum::<f64>();
         let speaks = |r: &Room| fleet.owners.get(&r.id).is_some_and(|(n, _)| ctx.ledger.speaks(*n));
         for loose in [false, true] {
             let may = |r: &Room| r.open && !r.kept && (loose || !r.spot) && speaks(r);
             let wanted = self.market.headroom(loose, Cores(used[usize::from(loose)]).amount());
+            // In a small fleet others would find nothing.
+            let wanted = wanted.min(open * MOST_KEPT);
             if wanted <= 0.0 {
                 continue;
             }
--- a/src/place.rs
+++ b/src/place.rs
@@ -95,8 +95,12 @@
 impl Room {
     /// Whether a task of the job may start here now.
     pub fn takes(&self, spec: &JobSpec, need: &Need, zone: Option<&str>) -> bool {
+        !(self.kept && spec.loaners && spec.shape != Shape::Gang) && self.holds(spec, need, zone)
+    }
+
+    /// The same, whether it is kept for others or not.
+    pub fn holds(&self, spec: &JobSpec, need: &Need, zone: Option<&str>) -> bool {
         self.open
-            && !(self.kept && spec.loaners && spec.shape != Shape::Gang)
             && need.fits(&self.free)
             && zone.is_none_or(|z| *z == *self.zone)
             && allowed(spec, &self.hull, &self.zone, self.spot)
