--- a/src/core.rs
+++ b/src/core.rs
@@ -5,7 +5,7 @@
 
 use tracing::info;
 
-use crate::config::{NodeInfo, Settings};
+use crate::config::{NodeInfo, Settings, StateLimits};
 use crate::lead::{Context, Epoch, Lead};
 use crate::ledger::{self, Brought, LeadRecord, Ledger, MemberRecord, TermRecord};
 use crate::model::{Incarnation, JobId, NodeId, Revision, Steady, StoreLease, TaskId, Term, Wall};
@@ -61,6 +61,8 @@
     pub store_ok: bool,
     /// When another controller was last heard.
     pub peer_heard: Steady,
+    /// Limits of the state service that writes keep to.
+    pub limits: StateLimits,
     /// A leader of a later term than the replica knows, as a peer told.
     heard_lead: Option<LeadRecord>,
 }
@@ -79,6 +81,7 @@
             store_ok: false,
             peer_heard: Steady(0),
             heard_lead: None,
+            limits: settings.params.state.clone(),
             settings,
             nodes,
             me,
@@ -86,6 +89,20 @@
         }
     }
 
+    /// The store called a write malformed that is not: its limits are lower than the settings say.
+    /// Writes become smaller until they fit.
+    pub fn tighten(&mut self) {
+        let limits = &mut self.limits;
+        limits.txn_ops = (limits.txn_ops / 2).max(2);
+        limits.value_kb = (limits.value_kb / 2.0).max(1.0);
+        let (value_kb, txn_ops) = (limits.value_kb, limits.txn_ops);
+        tracing::warn!(
+            value_kb,
+            txn_ops,
+            "the store refuses what it took before; writing less at once"
+        );
+    }
+
     /// Does something with the leadership and what it needs to see.
     fn with_ctx<T>(
         &mut self,
@@ -101,6 +118,7 @@
             flavors: &self.flavors,
             finished: &self.part.finished,
             settings: &self.settings,
+            limits: &self.limits,
             nodes: &self.nodes,
         };
         act(&mut self.lead, &ctx)
@@ -421,8 +439,8 @@
         }
         due.sort();
         let mut txn = Txn::default();
-        let bytes = self.settings.params.state.value_bytes();
-        for (_, _, id) in due.into_iter().take(self.settings.params.state.txn_ops) {
+        let bytes = self.limits.value_bytes();
+        for (_, _, id) in due.into_iter().take(self.limits.txn_ops) {
             let (Some(job), Some(f)) = (self.ledger.jobs.get(&id), self.part.finished.get_mut(&id))
             else {
                 continue;
@@ -441,7 +459,7 @@
         let job = self.ledger.jobs.get(&id)?;
         let progress = ledger::Progress {
             end: Some(wire::JobStage::Withdrawn),
-            done: job.progress.done.fitting(self.settings.params.state.value_bytes()),
+            done: job.progress.done.fitting(self.limits.value_bytes()),
             gang: None,
         };
         let path = ledger::progress_key(id);
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -13,9 +13,9 @@
 
 use crate::admit::{self, Bounds, Curve, Demand};
 use crate::capacity::{self, Held, Market, Offer, Want};
-use crate::config::{NodeInfo, Settings};
+use crate::config::{NodeInfo, Settings, StateLimits};
 use crate::fleet::{Fleet, OnMachines, Taken};
-use crate::ledger::{Job, Ledger};
+use crate::ledger::{self, Job, Ledger};
 use crate::model::{
     Attempt, Cores, JobId, LEADERS_ATTEMPTS, MachineId, NodeId, PlanSeq, Ranges, Session, Steady,
     TaskId, Term, Wall,
@@ -72,6 +72,8 @@
     pub finished: &'a BTreeMap<JobId, Finished>,
     /// Settings.
     pub settings: &'a Settings,
+    /// Limits of the state service that writes keep to.
+    pub limits: &'a StateLimits,
     /// All controllers.
     pub nodes: &'a [NodeInfo],
 }
@@ -932,16 +934,21 @@
     pub fn describe(&self, ctx: &Context<'_>) -> String {
         let on = self.fleet.on_machines();
         let (mut runs, mut fetches, mut free) = (Cores(0), Cores(0), Cores(0));
+        let mut waits = Cores(0);
         for (t, s) in &on {
             let cores = ctx.ledger.jobs.get(&t.job).map_or(Cores(0), |j| Need::of(&j.spec).cores);
-            let sum = if s.stage == PieceStage::Fetching { &mut fetches } else { &mut runs };
+            let sum = match s.stage {
+                PieceStage::Fetching => &mut fetches,
+                PieceStage::Waiting => &mut waits,
+                _ => &mut runs,
+            };
             sum.0 += cores.0;
         }
         let rooms = self.fleet.rooms(ctx);
         rooms.iter().for_each(|r| free.0 += r.free.cores.0);
         format!(
             "machines={} up={} spot={} owners={} tasks={} granted={} limbo={} unsettled={} jobs={} \
-             cores: run={:.0} fetch={:.0} free={:.0} ready={:.0}/{:.0}",
+             cores: run={:.0} fetch={:.0} wait={:.0} free={:.0} ready={:.0}/{:.0} kept={} versions={}",
             self.fleet.machines.len(),
             self.fleet.machines.values().filter(|m| m.up).count(),
             self.fleet.machines.values().filter(|m| m.up && m.offer.spot).count(),
@@ -953,9 +960,12 @@
             ctx.ledger.jobs.len(),
             runs.amount(),
             fetches.amount(),
+            waits.amount(),
             free.amount(),
             self.market.ready(false),
             self.market.ready(true),
+            self.kept.len(),
+            versions(ctx),
         )
     }
 
@@ -975,6 +985,16 @@
     }
 }
 
+/// The versions of the controllers that are up, in their order.
+fn versions(ctx: &Context<'_>) -> String {
+    let of = |m: &ledger::MemberRecord| match m.version.as_str() {
+        "" => "before 0.2".to_string(),
+        version => version.to_string(),
+    };
+    let all: Vec<String> = ctx.ledger.members.values().map(|(m, _)| of(m)).collect();
+    all.join(",")
+}
+
 /// How long tasks take on a machine, compared with others of their jobs.
 #[derive(Clone, Copy, Debug)]
 struct Speed {
--- a/src/lead/record.rs
+++ b/src/lead/record.rs
@@ -34,7 +34,7 @@
 impl Lead {
     /// Writes the transaction that has to be carried out before the epoch holds.
     pub(super) fn compose(&mut self, ctx: &Context<'_>, epoch: &mut Epoch) {
-        let ops = ctx.settings.params.state.txn_ops;
+        let ops = ctx.limits.txn_ops;
         let mut apply = Vec::new();
         let due = ctx.now.since(self.machines_written) >= MACHINES_MS || !epoch.grants.is_empty();
         if due {
@@ -71,7 +71,7 @@
         most: usize,
         apply: &mut Vec<Change>,
     ) {
-        let fill = ctx.settings.params.state.value_bytes() * 4 / 5;
+        let fill = ctx.limits.value_bytes() * 4 / 5;
         let mut wider: BTreeMap<JobId, Ranges> = BTreeMap::new();
         for (t, _) in &epoch.grants {
             let known = self.recorded.get(&t.job);
@@ -163,7 +163,7 @@
     fn machine_changes(&self, ctx: &Context<'_>, most: usize, apply: &mut Vec<Change>) {
         let ledger = ctx.ledger;
         let known = &ledger.machines;
-        let limit = ctx.settings.params.state.value_bytes();
+        let limit = ctx.limits.value_bytes();
         let fleet = &self.fleet;
         let new = |id: &MachineId, m: &crate::fleet::FleetMachine| {
             m.up && known.get(id).is_none_or(|k| !k.up && k.gone.is_none())
--- a/src/lead/tests.rs
+++ b/src/lead/tests.rs
@@ -4,7 +4,7 @@
 use crate::config::tests::EXAMPLE;
 use crate::core::{Core, Moment};
 use crate::ledger::tests::group;
-use crate::ledger::{self, Accepted, Brought, EpochRecord, LeadRecord, TermRecord};
+use crate::ledger::{Accepted, Brought, EpochRecord, LeadRecord, TermRecord};
 use crate::model::{Incarnation, Revision, Session, StoreLease};
 use crate::peer::{MachineView, TaskView};
 use crate::place::tests::flavor;
--- a/src/service.rs
+++ b/src/service.rs
@@ -186,7 +186,8 @@
         let api = TcpListener::bind(self.settings.api_addr).await?;
         let back = TcpListener::bind(self.settings.back).await?;
         let life = self.core.borrow().life;
-        info!(node = %self.settings.node_name, %life, "serving");
+        let version = env!("CARGO_PKG_VERSION");
+        info!(node = %self.settings.node_name, %life, version, "serving");
         let sockets = self.settings.params.limits.sockets;
         let s = self.clone();
         spawn_local(http::serve(
@@ -746,6 +747,7 @@
                 }
                 Err(e) => {
                     debug!(error = %e, "epoch not written");
+                    self.heed(&e);
                     return;
                 }
             }
@@ -760,6 +762,13 @@
         }
     }
 
+    /// Writes less at once when the store calls a write malformed.
+    fn heed(&self, e: &StateError) {
+        if matches!(e, StateError::Malformed(400)) {
+            self.core.borrow_mut().tighten();
+        }
+    }
+
     /// Takes over what a transaction of this node just made durable.
     fn apply_own(&self, txn: &Txn, stamp: Revision) {
         let brought = self.core.borrow_mut().apply_own(txn, stamp);
@@ -963,6 +972,7 @@
                     Ok(Committed::No(failed)) => txn.leave_out(&failed),
                     Err(e) => {
                         debug!(error = %e, "completions not written");
+                        self.heed(&e);
                         let _ = self.pull(Duration::ZERO).await;
                         break;
                     }
@@ -988,7 +998,7 @@
             loop {
                 let batch: Vec<Submission> = {
                     let mut queue = self.accepts.borrow_mut();
-                    let n = queue.len().min(self.settings.params.state.txn_ops);
+                    let n = queue.len().min(self.core.borrow().limits.txn_ops);
                     queue.drain(..n).collect()
                 };
                 if batch.is_empty() {
@@ -1009,7 +1019,7 @@
             }
             let txn = {
                 let core = self.core.borrow();
-                let bytes = self.settings.params.state.value_bytes();
+                let bytes = core.limits.value_bytes();
                 let specs = batch.iter().map(|(spec, _)| spec);
                 accept_txn(specs, self.wall(), &core.flavors, bytes)
             };
@@ -1034,6 +1044,7 @@
                 }
                 Err(e) => {
                     debug!(error = %e, "submissions not written");
+                    self.heed(&e);
                     break;
                 }
             }
