--- a/src/lead/tests.rs
+++ b/src/lead/tests.rs
@@ -702,3 +702,32 @@
         assert_eq!(stops.first().map(|s| s.leeway_ms), want, "{ms} {stash_s} {bookmark_s}");
     }
 }
+
+#[test]
+fn room_is_kept_for_gangs_but_not_all_and_not_from_work_that_waits_long() {
+    // Seen in the simulation: in a fleet of eight machines all were kept for gangs, and arrays never
+    // began. (machines, age of the array in s, machines kept, whether the array begins)
+    let cases = [(2, 1, 1, true), (8, 1, 2, true), (1, 1, 1, false), (1, 101, 1, true)];
+    for (machines, age_s, kept, begins) in cases {
+        let mut core = leader_with_gang(64, |s| (s.loaners, s.bundle) = (false, "gang".into()), 1);
+        core.ledger.jobs.remove(&JobId(1));
+        let item = |path: String, v| Item { path, v, stamp: Revision(11) };
+        let mut brought = Brought::default();
+        let array = Accepted { spec: spec(8, 1), at: Wall(1_001_000 - age_s * 1_000) };
+        core.ledger.load(&item(ledger::job_key(JobId(8)), wire::to_value(&array)), &mut brought);
+        let names: Vec<String> = (1..=machines).map(|n| format!("n-{n}")).collect();
+        let ids: Vec<&str> = names.iter().map(String::as_str).collect();
+        core.ledger.load(&item(ledger::machine_key(0), wire::to_value(&group(&ids))), &mut brought);
+        let idle = || ids.iter().map(|id| view(id, true, &[])).collect();
+        tell(&mut core, 1_100, 0, vec![]);
+        core.with_lead(at(1_150), |l, _| {
+            l.market.note_gangs(Steady(1_150), (Cores(64_000), Cores(64_000)), Default::default());
+        });
+        tell(&mut core, 1_200, 1, idle());
+        tell(&mut core, 1_400, 1, idle());
+        let lead = core.lead.as_ref().unwrap();
+        assert_eq!(lead.kept.len(), kept, "{machines} {age_s}");
+        let began = lead.granted.keys().any(|t| t.job == JobId(8));
+        assert_eq!(began, begins, "{machines} {age_s}");
+    }
+}
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -787,4 +787,44 @@
             assert_eq!((l.withdrawn.len() as u64, l.withdrawn_forgotten), (left, forgotten));
         }
     }
+
+    #[test]
+    fn what_a_gang_that_is_done_may_still_use_is_on_record() {
+        // Found in the simulation: a machine that hung had tasks of a gang that was done, and after a
+        // takeover they counted for no limit. (shape, tasks that may still be somewhere)
+        for (shape, left) in [(wire::Shape::Gang, Some(3)), (wire::Shape::Sweep, None)] {
+            let job = Job {
+                spec: JobSpec { shape, ..spec(7, 3) },
+                at: Wall(1),
+                progress: Progress::default(),
+                progress_stamp: Revision(0),
+            };
+            let end = Ledger::with_done(&job, 0..3, 2_048).unwrap();
+            let mut brought = Brought::default();
+            // A controller that has never seen the job read its end alone.
+            let mut l = Ledger::new(NodeId(0));
+            l.put(&progress_key(JobId(7)), &wire::to_value(&end), Revision(3), &mut brought);
+            assert_eq!(l.withdrawn.get(&JobId(7)).map(|w| w.left), left, "{shape:?}");
+        }
+    }
+
+    #[test]
+    fn completions_that_lie_far_apart_fit_into_a_value_and_are_recorded_in_the_end() {
+        let mut job = Job {
+            spec: spec(7, 4_000),
+            at: Wall(1),
+            progress: Progress::default(),
+            progress_stamp: Revision(0),
+        };
+        let apart = (0..4_000).filter(|i| i % 2 == 0);
+        let some = Ledger::with_done(&job, apart.clone(), 2_048).unwrap();
+        assert!(wire::stored_bytes(&some) <= 2_048 && some.done.len() > 100);
+        // What a version with larger values wrote is read, and shrinks when it is written again.
+        job.progress.done = apart.clone().collect();
+        let more = Ledger::with_done(&job, [1], 2_048).unwrap();
+        assert!(wire::stored_bytes(&more) <= 2_048 && more.done.contains(1));
+        job.progress = some;
+        let all = Ledger::with_done(&job, 0..4_000, 2_048).unwrap();
+        assert_eq!((all.end, all.done.len()), (Some(JobStage::Done), 4_000));
+    }
 }
--- a/src/place.rs
+++ b/src/place.rs
@@ -485,4 +485,53 @@
         job.yard = Some("c".into());
         assert!(!can_ever_run(&job, &flavors));
     }
+
+    #[test]
+    fn a_gang_goes_where_all_can_begin_first_on_as_few_machines_as_hold_it() {
+        // 4 cores and 8 GB a task, an image of 1 GB that takes 2 s. Machines: id, free cores, warm.
+        type Machines = &'static [(&'static str, u64, bool)];
+        let cases: [(&str, Machines, usize, Option<&[&str]>); 6] = [
+            ("one holds it", &[("n-1", 8, true), ("n-2", 16, true)], 3, Some(&["n-2"])),
+            ("the tightest that does", &[("n-1", 16, true), ("n-2", 8, true)], 2, Some(&["n-2"])),
+            (
+                "warm ones before a single cold one",
+                &[("n-1", 8, true), ("n-2", 8, true), ("n-3", 64, false)],
+                4,
+                Some(&["n-1", "n-2"]),
+            ),
+            (
+                "one that is cold makes all wait, so cold ones will do",
+                &[("n-1", 4, true), ("n-2", 4, false), ("n-3", 8, false)],
+                2,
+                Some(&["n-3"]),
+            ),
+            ("not all fit", &[("n-1", 8, true), ("n-2", 4, true)], 4, None),
+            ("nothing is there", &[], 1, None),
+        ];
+        let job = spec(1, 1);
+        let need = Need::of(&job);
+        for (what, machines, count, want) in cases {
+            let rooms: Vec<Room> = machines
+                .iter()
+                .map(|(id, cores, warm)| {
+                    let mut r = room(id, *cores, 512);
+                    if *warm {
+                        r.images.push((job.bundle.clone(), job.size_gb));
+                    }
+                    r
+                })
+                .collect();
+            let may = vec![true; rooms.len()];
+            let got = pack(&job, &need, &rooms, &may, Some("a"), count).map(|(_, chosen)| {
+                assert_eq!(chosen.len(), count, "{what}");
+                let used: std::collections::BTreeSet<&str> =
+                    chosen.iter().map(|i| &*rooms[*i].id.0).collect();
+                used.into_iter().collect::<Vec<_>>()
+            });
+            assert_eq!(got.as_deref(), want, "{what}");
+        }
+        let rooms = [room("n-1", 8, 512)];
+        assert!(pack(&job, &need, &rooms, &[false], None, 1).is_none(), "it may not be used");
+        assert!(pack(&job, &need, &rooms, &[true], Some("b"), 1).is_none(), "another zone");
+    }
 }
