--- a/tests/sim/store.rs
+++ b/tests/sim/store.rs
@@ -4,7 +4,7 @@
 
 use willowshore::model::{Revision, StoreLease};
 use willowshore::state::Committed;
-use willowshore::wire::{self, Change, Changes, Item, News, Txn, Value};
+use willowshore::wire::{Change, Changes, Item, News, Txn, Value};
 
 #[derive(Default)]
 pub struct Store {
@@ -91,7 +91,7 @@
         }
         if let Some((bytes, ops)) = self.limits {
             let size = |c: &Change| match c {
-                Change::Set { value, .. } => wire::stored_bytes(value),
+                Change::Set { value, .. } => serde_json::to_vec(value).map_or(0, |json| json.len()),
                 Change::Drop { .. } => 0,
             };
             let large = txn.apply.iter().find(|c| size(c) > bytes);
--- a/tests/upgrade/main.rs
+++ b/tests/upgrade/main.rs
@@ -246,3 +246,25 @@
     assert_eq!((old.machines[0].1.hull.as_str(), old.machines[0].1.spot), ("kleine", false));
     assert_eq!((old.machines[0].1.zone.as_str(), &*old.machines[0].1.endpoint), ("a", ""));
 }
+
+#[test]
+fn sizes_count_in_the_form_in_which_the_protocol_shows_messages() {
+    // Seen on a bench day: groups of machines that were small enough as CBOR were refused.
+    let record = MachineRecord {
+        hull: "may-chuan".into(),
+        zone: "binh-duong".into(),
+        spot: false,
+        up: true,
+        gone: None,
+        endpoint: "10.1.0.232:9000".into(),
+    };
+    let machines = (24..48).map(|n| (machine(&format!("n-{n:06}")), record.clone())).collect();
+    let group = MachineGroup { machines };
+    let shown = serde_json::to_vec(&group).unwrap().len();
+    let sent = wire::encode(&group).len();
+    assert!(sent < 2_048 && shown > 2_048, "{sent} {shown}");
+    assert_eq!(wire::stored_bytes(&group), shown);
+    let numbers = Load::default();
+    let sent = wire::encode(&numbers).len();
+    assert!(wire::stored_bytes(&numbers) >= sent.max(serde_json::to_vec(&numbers).unwrap().len()));
+}
