--- a/src/service.rs
+++ b/src/service.rs
@@ -124,6 +124,10 @@
     /// User requests being served.
     pub(crate) serving: Cell<usize>,
     announcing: Cell<usize>,
+    /// Controllers' names.
+    names: Vec<String>,
+    /// When operators were last told of a message that was not understood.
+    told_unread: Cell<Option<Steady>>,
     meter: Meter,
     /// Microseconds that the last epoch took.
     epoch_us: Cell<u64>,
@@ -137,6 +141,7 @@
         let settings = Rc::new(settings);
         let core = Core::new(settings.clone(), life);
         Service {
+            names: core.nodes.iter().map(|n| n.name.clone()).collect(),
             me: core.me,
             nodes: core.nodes.len(),
             peers: core.nodes.iter().map(|n| Client::new(n.back, 4 << 20)).collect(),
@@ -160,6 +165,7 @@
             relaying: RefCell::default(),
             serving: Cell::new(0),
             announcing: Cell::new(0),
+            told_unread: Cell::new(None),
             meter: Meter::default(),
             epoch_us: Cell::new(0),
         }
@@ -533,18 +539,36 @@
         let client = self.peers.get(usize::from(node.0))?;
         let body = peer::encode(ask);
         let answer = client.call("POST", "/peer", &body, Duration::from_millis(limit_ms)).await;
-        let tell = answer.ok().filter(|a| a.status == 200).and_then(|a| peer::decode(&a.body));
+        let told = answer.ok().filter(|a| a.status == 200);
+        let tell = told.as_ref().and_then(|a| peer::decode(&a.body));
+        if told.is_some() && tell.is_none() {
+            self.unread(self.name_of(node));
+        }
         if tell.is_some() {
             self.core.borrow_mut().peer_heard = self.now();
         }
         tell
     }
 
+    fn name_of(&self, node: NodeId) -> &str {
+        self.names.get(usize::from(node.0)).map_or("an unknown controller", String::as_str)
+    }
+
+    /// Tells operators of a message that this version does not read, not more often than they need it.
+    fn unread(&self, from: &str) {
+        let now = self.now();
+        if self.told_unread.get().is_none_or(|at| now.since(at) >= 10_000) {
+            self.told_unread.set(Some(now));
+            warn!(from, "a message that this version does not read is refused");
+        }
+    }
+
     async fn answer_peer(&self, path: &str, body: &[u8]) -> Response {
         if path != "/peer" {
             return Response::empty(404);
         }
         let Some(ask) = peer::decode::<Ask>(body) else {
+            self.unread("a controller that does not say its name");
             return Response { close: true, ..Response::empty(400) };
         };
         self.core.borrow_mut().peer_heard = self.now();
@@ -665,6 +689,7 @@
                 Some(Relayed::Tell(tell)) => {
                     self.core.borrow_mut().take_answer(tell);
                 }
+                None => self.unread(self.name_of(NodeId(from))),
                 _ => {}
             }
         }
