--- /dev/null
+++ b/src/cloud/tests.rs
@@ -0,0 +1,22 @@
+//! Tables of cases for `cloud`.
+
+use super::*;
+use ciborium::cbor;
+
+#[test]
+fn answers_say_whether_a_rental_is_open() {
+    let answer = |status, error: &str| {
+        let body = wire::encode(&cbor!({"error" => error}).unwrap());
+        Ok(Answer { status, body, retry_after: None })
+    };
+    let cases = [
+        (answer(503, "no capacity"), CloudError::NoCapacity),
+        (answer(503, "trouble"), CloudError::Refused(503)),
+        (answer(429, ""), CloudError::Refused(429)),
+        (Err(CallError::Connect), CloudError::Refused(0)),
+        (Err(CallError::Timeout), CloudError::Unknown),
+    ];
+    for (given, want) in cases {
+        assert_eq!(CloudClient::checked(given).unwrap_err(), want);
+    }
+}
--- /dev/null
+++ b/src/config/tests.rs
@@ -0,0 +1,74 @@
+//! Tables of cases for `config`.
+
+use super::*;
+
+#[test]
+fn times_follow_how_often_workers_report() {
+    // Reports of the deployments, then odd ones: (report, lease, silent, unused, stray, quick).
+    // With fixed times of 4 s, machines that report every 5 s were closed for most of the time.
+    let cases = [
+        (1.0, 11.0, 4_000, 4_500, 3_000, 5_000),
+        (1.5, 10.0, 4_000, 4_500, 3_000, 6_000),
+        (2.5, 15.25, 5_125, 5_625, 4_125, 10_000),
+        (5.0, 26.5, 8_250, 8_750, 7_250, 20_000),
+        (0.5, 3.0, 4_000, 4_500, 3_000, 5_000),
+        (10.0, 30.0, 14_500, 15_000, 13_500, 30_000),
+    ];
+    for (report_s, lease_s, silent, unused, stray, quick) in cases {
+        let p = Pace::of(&Workers {
+            report_s,
+            lease_s,
+            cancel_s: 99.0,
+            gang_wait_s: 30.0,
+            gang_peer_s: 5.0,
+        });
+        let got = (p.silent_ms, p.unused_ms, p.stray_ms, p.quick_ms);
+        assert_eq!(got, (silent, unused, stray, quick), "{report_s} {lease_s}");
+        assert!(p.gap_ms + 1_000 <= p.stray_ms && p.gap_ms < p.silent_ms);
+        assert!(p.answers_ms as f64 >= 2_000.0 * lease_s);
+    }
+}
+
+/// A settings file like those that the platform hands over.
+pub(crate) const EXAMPLE: &str = include_str!("../../tests/settings.toml");
+
+#[test]
+fn settings_are_checked_once_and_say_what_is_wrong() {
+    let cases = [
+        ("", "", None),
+        ("site = \"a\"\napi", "api", Some("site")),
+        ("nodes = 3", "nodes = 2", Some("params.nodes")),
+        ("lease_s = 10.0", "lease_s = -1.0", Some("lease_s")),
+        ("cancel_s = 30.0", "cancel_s = 12.0", Some("cancel_s")),
+        ("txn_ops = 12", "txn_ops = 1", Some("txn_ops")),
+        ("txn_ops = 12", "txn_ops = \"x\"", Some("txn_ops")),
+        ("\"host-1\"", "\"host-0\"", Some("known")),
+        ("cpus_max = 32.0", "cpus_max = -3.0", Some("params.teams")),
+        ("\"10.0.0.1:8080\"", "\"here\"", Some("api_addr")),
+    ];
+    for (from, to, want) in cases {
+        let text = EXAMPLE.replacen(from, to, 1);
+        match (Settings::parse(&text), want) {
+            (Ok(_), None) => {}
+            (Err(e), Some(field)) => {
+                let line = e.to_string();
+                assert!(line.contains(field), "{from} -> {to}: {line}");
+                assert!(!line.contains('\n'));
+            }
+            (got, want) => panic!("{from} -> {to}: {got:?}, wanted {want:?}"),
+        }
+    }
+}
+
+#[test]
+fn everybody_numbers_the_controllers_alike() {
+    let s = Settings::parse(EXAMPLE).unwrap();
+    let (nodes, me) = s.all_nodes();
+    assert_eq!(me, NodeId(0));
+    let names: Vec<_> = nodes.iter().map(|n| n.name.as_str()).collect();
+    assert_eq!(names, ["host-0", "host-1", "host-2"]);
+    assert_eq!(s.team("blue").unwrap().core_limit(), None);
+    assert_eq!(s.team("red").unwrap().core_limit(), Some(Cores(32_000)));
+    // A right to keep alive plus a whole lease has to end before `cancel_s` does.
+    assert!(s.keep_alive_ms() + s.worker_lease_ms() < 30_000);
+}
--- /dev/null
+++ b/src/http/tests.rs
@@ -0,0 +1,85 @@
+//! Tables of cases for `http`.
+
+use super::*;
+
+/// Opens connections to a server that takes six, three of users, two without a request, and
+/// says what each is answered; `None` for a closed one.
+async fn flood(paths: &[Option<&str>]) -> Vec<Option<u16>> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let kind = |path: &str| if path == "/user" { Kind::User } else { Kind::Worker };
+    let limits = ServerLimits { users: 3, fresh: 2, kind, ..ServerLimits::of(6) };
+    let server = tokio::task::spawn_local(serve(listener, limits, |_| async {
+        Response::new(200, vec![1])
+    }));
+    let mut kept = Vec::new();
+    let mut answers = Vec::new();
+    for path in paths {
+        let mut stream = TcpStream::connect(addr).await.unwrap();
+        let mut buf = Vec::with_capacity(READ_ROOM);
+        if let Some(path) = path {
+            let request = format!("GET {path} HTTP/1.1\r\n\r\n");
+            let sent = stream.write_all(request.as_bytes()).await;
+            let read = stream.read_buf(&mut buf).await;
+            let answer = (sent.is_ok() && read.is_ok_and(|n| n > 0))
+                .then(|| parse_answer(&buf).ok().flatten().map(|a| a.0))
+                .flatten();
+            answers.push(answer);
+        }
+        kept.push(stream);
+    }
+    server.abort();
+    answers
+}
+
+#[tokio::test]
+async fn a_flood_of_one_kind_leaves_room_for_the_others() {
+    let (user, worker) = (Some("/user"), Some("/worker"));
+    let ok = Some(200);
+    type Case = (&'static str, Vec<Option<&'static str>>, Vec<Option<u16>>);
+    let cases: Vec<Case> = vec![
+        ("users", vec![user; 5], vec![ok, ok, ok, Some(503), Some(503)]),
+        (
+            "workers after users",
+            vec![user, user, user, user, worker, worker, worker],
+            vec![ok, ok, ok, Some(503), ok, ok, ok],
+        ),
+        ("silent ones", vec![None, None, worker], vec![None]),
+        (
+            "all in use",
+            [vec![worker; 6], vec![worker]].concat(),
+            [vec![ok; 6], vec![None]].concat(),
+        ),
+    ];
+    for (what, paths, want) in cases {
+        let got = tokio::task::LocalSet::new().run_until(flood(&paths)).await;
+        assert_eq!(got, want, "{what}");
+    }
+}
+
+#[test]
+fn heads_are_taken_or_refused() {
+    let long = format!("GET / HTTP/1.1\r\nA: {}", "x".repeat(HEAD_LIMIT));
+    let many = format!("GET / HTTP/1.1\r\n{}\r\n", "A: b\r\n".repeat(MAX_HEADERS + 1));
+    let cases: Vec<(&str, Result<Option<usize>, HeadError>)> = vec![
+        ("GET /ready HTTP/1.1\r\n\r\n", Ok(Some(0))),
+        ("GET /ready HTTP/1.1\r\nHos", Ok(None)),
+        ("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\n", Ok(Some(10))),
+        ("POST / HTTP/1.1\r\ncontent-length: 101\r\n\r\n", Err(HeadError::BodyTooLarge)),
+        ("POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", Err(HeadError::Malformed)),
+        (
+            "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+            Err(HeadError::Malformed),
+        ),
+        ("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", Err(HeadError::LengthRequired)),
+        ("\x01\x02 nonsense\r\n\r\n", Err(HeadError::Malformed)),
+        (&long, Err(HeadError::TooLarge)),
+        (&many, Err(HeadError::TooLarge)),
+    ];
+    for (text, want) in cases {
+        let got = parse_head(text.as_bytes(), 100).map(|h| h.map(|h| h.length));
+        assert_eq!(got, want, "{}", &text[..text.len().min(60)]);
+    }
+    let head = parse_head(b"GET / HTTP/1.1\r\nConnection: Close\r\n\r\n", 1).unwrap();
+    assert!(head.unwrap().close);
+}
--- /dev/null
+++ b/src/ledger/tests.rs
@@ -0,0 +1,130 @@
+//! Tables of cases for `ledger`.
+
+use super::*;
+use crate::wire::News;
+use crate::wire::tests::spec;
+
+/// Machines of type `small` in zone `a` that are up.
+pub(crate) fn group(ids: &[&str]) -> MachineGroup {
+    let record = MachineRecord {
+        hull: "small".into(),
+        zone: "a".into(),
+        spot: false,
+        up: true,
+        gone: None,
+        endpoint: String::new(),
+    };
+    let machines = ids.iter().map(|id| (MachineId::new(id), record.clone()));
+    MachineGroup { machines: machines.collect() }
+}
+
+fn set<T: Serialize>(key: String, value: &T, stamp: u64) -> News {
+    News { set: Some(key), drop: None, v: Some(wire::to_value(value)), stamp: Revision(stamp) }
+}
+fn dropped(key: String, stamp: u64) -> News {
+    News { set: None, drop: Some(key), v: None, stamp: Revision(stamp) }
+}
+fn changes(epoch: u64, news: Vec<News>) -> Changes {
+    Changes { epoch: Revision(epoch), news }
+}
+
+#[test]
+fn overlapping_and_late_watches_change_nothing() {
+    let id = JobId(7);
+    let job = set(job_key(id), &Accepted { spec: spec(7, 2), at: Wall(1) }, 3);
+    let lead = |term| LeadRecord { node: NodeId(1), life: Incarnation(9), term: Term(term) };
+    let mut l = Ledger::new(NodeId(0));
+    assert!(l.apply(&changes(4, vec![job.clone()])).jobs);
+    l.apply(&changes(9, vec![set(LEAD_KEY.into(), &lead(2), 8)]));
+    // A slower watch that covers only older changes comes back afterwards.
+    let late = vec![job, set(LEAD_KEY.into(), &lead(1), 5), dropped(LEAD_KEY.into(), 6)];
+    assert_eq!(l.apply(&changes(7, late)), Brought::default());
+    assert_eq!(l.lead.as_ref().unwrap().0.term, Term(2));
+    assert_eq!(l.revision, Revision(9));
+    l.apply(&changes(10, vec![dropped(LEAD_KEY.into(), 10)]));
+    assert!(l.lead.is_none());
+}
+
+#[test]
+fn progress_may_be_read_before_its_job() {
+    let mut l = Ledger::new(NodeId(0));
+    let mut b = Brought::default();
+    let done = Progress { done: Ranges::span(0, 1), ..Progress::default() };
+    let item = |path: String, v, stamp| Item { path, v, stamp: Revision(stamp) };
+    l.load(&item(progress_key(JobId(7)), wire::to_value(&done), 5), &mut b);
+    let accepted = Accepted { spec: spec(7, 2), at: Wall(1) };
+    l.load(&item(job_key(JobId(7)), wire::to_value(&accepted), 4), &mut b);
+    let job = &l.jobs[&JobId(7)];
+    assert!(job.is_done(0) && !job.is_done(1));
+    assert_eq!(job.progress_stamp, Revision(5));
+    let end = Ledger::with_done(job, [1, 1, 99], 2_048).unwrap();
+    assert_eq!(end.end, Some(JobStage::Done));
+    assert!(Ledger::with_done(job, [0], 2_048).is_none());
+    l.load(&item(progress_key(JobId(7)), wire::to_value(&end), 6), &mut b);
+    assert_eq!(l.ended[&JobId(7)], (JobStage::Done, 2));
+    // An ended job stays ended whatever is read later.
+    l.load(&item(progress_key(JobId(7)), wire::to_value(&done), 5), &mut b);
+    l.load(&item(job_key(JobId(7)), wire::to_value(&accepted), 4), &mut b);
+    assert!(l.jobs.is_empty() && l.ended.len() == 1);
+}
+
+#[test]
+fn what_is_forgotten_of_cancelled_jobs_is_known_to_be() {
+    // Their tasks may run on machines of which nothing is heard; a limit must not be passed by
+    // forgetting them. (cancelled jobs, kept, whether some are forgotten)
+    let kept = WITHDRAWN_KEPT as u64;
+    for (cancelled, left, forgotten) in [(3, 3, false), (kept, kept, false), (kept + 1, kept, true)]
+    {
+        let mut l = Ledger::new(NodeId(0));
+        let gone = Progress { end: Some(JobStage::Withdrawn), ..Progress::default() };
+        for n in 1..=cancelled {
+            let accepted = Accepted { spec: spec(n, 2), at: Wall(1) };
+            let news = vec![
+                set(job_key(JobId(n)), &accepted, 2 * n),
+                set(progress_key(JobId(n)), &gone, 2 * n + 1),
+            ];
+            l.apply(&changes(2 * n + 1, news));
+        }
+        assert_eq!((l.withdrawn.len() as u64, l.withdrawn_forgotten), (left, forgotten));
+    }
+}
+
+#[test]
+fn what_a_gang_that_is_done_may_still_use_is_on_record() {
+    // Found in the simulation: a machine that hung had tasks of a gang that was done, and after a
+    // takeover they counted for no limit. (shape, tasks that may still be somewhere)
+    for (shape, left) in [(wire::Shape::Gang, Some(3)), (wire::Shape::Sweep, None)] {
+        let job = Job {
+            spec: JobSpec { shape, ..spec(7, 3) },
+            at: Wall(1),
+            progress: Progress::default(),
+            progress_stamp: Revision(0),
+        };
+        let end = Ledger::with_done(&job, 0..3, 2_048).unwrap();
+        let mut brought = Brought::default();
+        // A controller that has never seen the job read its end alone.
+        let mut l = Ledger::new(NodeId(0));
+        l.put(&progress_key(JobId(7)), &wire::to_value(&end), Revision(3), &mut brought);
+        assert_eq!(l.withdrawn.get(&JobId(7)).map(|w| w.left), left, "{shape:?}");
+    }
+}
+
+#[test]
+fn completions_that_lie_far_apart_fit_into_a_value_and_are_recorded_in_the_end() {
+    let mut job = Job {
+        spec: spec(7, 4_000),
+        at: Wall(1),
+        progress: Progress::default(),
+        progress_stamp: Revision(0),
+    };
+    let apart = (0..4_000).filter(|i| i % 2 == 0);
+    let some = Ledger::with_done(&job, apart.clone(), 2_048).unwrap();
+    assert!(wire::stored_bytes(&some) <= 2_048 && some.done.len() > 100);
+    // What a version with larger values wrote is read, and shrinks when it is written again.
+    job.progress.done = apart.clone().collect();
+    let more = Ledger::with_done(&job, [1], 2_048).unwrap();
+    assert!(wire::stored_bytes(&more) <= 2_048 && more.done.contains(1));
+    job.progress = some;
+    let all = Ledger::with_done(&job, 0..4_000, 2_048).unwrap();
+    assert_eq!((all.end, all.done.len()), (Some(JobStage::Done), 4_000));
+}
--- /dev/null
+++ b/src/model/tests.rs
@@ -0,0 +1,55 @@
+//! Tables of cases for `model`.
+
+use super::*;
+
+#[test]
+fn job_ids_have_one_form() {
+    let cases = [
+        ("wk-000412", Some(412)),
+        ("wk-1000000", Some(1_000_000)),
+        ("wk-0000412", None),
+        ("wk-412", None),
+        ("wk-00041x", None),
+        ("job-000412", None),
+        ("wk-+00412", None),
+        ("wk-99999999999999999999999", None),
+        ("", None),
+    ];
+    for (text, want) in cases {
+        assert_eq!(JobId::parse(text).map(|j| j.0), want, "{text}");
+    }
+    assert_eq!(TaskId::parse("wk-000412/3").unwrap().to_string(), "wk-000412/3");
+    assert_eq!(TaskId::parse("wk-000412"), None);
+}
+
+#[test]
+fn ranges_merge_like_a_set() {
+    type Case = (&'static [u32], &'static [(u32, u32)]);
+    let cases: [Case; 5] = [
+        (&[], &[]),
+        (&[3], &[(3, 4)]),
+        (&[1, 3, 2], &[(1, 4)]),
+        (&[5, 1, 4, 4, 0], &[(0, 2), (4, 6)]),
+        (&[9, 8, 7, 1], &[(1, 2), (7, 10)]),
+    ];
+    for (numbers, want) in cases {
+        let set: Ranges = numbers.iter().copied().collect();
+        assert_eq!(set.spans(), want, "{numbers:?}");
+        assert!(set.is_sound());
+        assert!(numbers.iter().all(|n| set.contains(*n)));
+        assert!(!set.contains(6));
+    }
+}
+
+#[test]
+fn attempts_differ_by_term_node_and_count() {
+    let all = [
+        Attempt::of(Term(1), NodeId(0), 1),
+        Attempt::of(Term(2), NodeId(0), 1),
+        Attempt::of(Term(1), NodeId(1), 1),
+        Attempt::of(Term(1), NodeId(0), 2),
+    ];
+    for (i, a) in all.iter().enumerate() {
+        assert!(all[i + 1..].iter().all(|b| a != b));
+    }
+}
--- /dev/null
+++ b/src/place/tests.rs
@@ -0,0 +1,197 @@
+//! Tables of cases for `place`.
+
+use super::*;
+use crate::wire::tests::spec;
+
+/// A machine type for tests.
+pub(crate) fn flavor(name: &str, vcpus: f64, mem_gb: f64) -> Flavor {
+    Flavor {
+        sku: name.into(),
+        vcpus,
+        accelerators: 0.0,
+        mem_gb,
+        local_gb: 50.0,
+        fetch_gb_per_s: 0.5,
+        hourly: vcpus * 0.1,
+        market_price: vcpus * 0.03,
+        startup_s: 30.0,
+        yards: vec!["a".into(), "b".into()],
+    }
+}
+
+fn room(id: &str, cores: u64, memory: u64) -> Room {
+    Room {
+        id: MachineId::new(id),
+        hull: "small".into(),
+        zone: "a".into(),
+        spot: false,
+        free: Need {
+            cores: Cores(cores * 1000),
+            accelerators: Cores(0),
+            memory: Cores(memory * 1000),
+        },
+        images: vec![],
+        fetching: vec![],
+        delay_s: 0.0,
+        fetch_rate: 0.5,
+        open: true,
+        slow: false,
+        kept: false,
+    }
+}
+
+#[test]
+fn the_best_machine_is_chosen() {
+    let job = spec(1, 1); // 4 cores, 8 GB, image of 1 GB
+    let need = Need::of(&job);
+    let edit = |mut r: Room, f: fn(&mut Room)| {
+        f(&mut r);
+        r
+    };
+    let has = |r: &mut Room| r.images.push(("img".into(), 1.0));
+    type Case = (&'static str, Vec<Room>, Option<&'static str>, Option<usize>);
+    let cases: Vec<Case> = vec![
+        ("none", vec![], None, None),
+        ("too little memory", vec![room("n-1", 8, 7)], None, None),
+        ("too few cores", vec![room("n-1", 3, 64)], None, None),
+        ("tightest fit", vec![room("n-1", 16, 64), room("n-2", 8, 64)], None, Some(1)),
+        (
+            "the image outweighs the fit",
+            vec![edit(room("n-1", 16, 64), has), room("n-2", 4, 64)],
+            None,
+            Some(0),
+        ),
+        (
+            "a machine that fetches much is slower",
+            vec![
+                edit(room("n-1", 4, 64), |r| r.fetching = ["x", "y", "z"].map(Rc::from).to_vec()),
+                room("n-2", 8, 64),
+            ],
+            None,
+            Some(1),
+        ),
+        (
+            "closed machines take nothing",
+            vec![edit(room("n-1", 4, 64), |r| r.open = false)],
+            None,
+            None,
+        ),
+        (
+            "slow machines are used last",
+            vec![edit(room("n-1", 4, 64), |r| r.slow = true), room("n-2", 16, 64)],
+            None,
+            Some(1),
+        ),
+        ("wrong zone", vec![room("n-1", 8, 64)], Some("b"), None),
+    ];
+    for (what, rooms, zone, want) in cases {
+        assert_eq!(choose(&job, &need, &rooms, zone), want, "{what}");
+        let first = spread(&job, &need, &mut rooms.clone(), zone, 1);
+        assert_eq!(first.first().copied(), want, "{what}, in one pass");
+    }
+}
+
+#[test]
+fn a_jobs_tasks_are_placed_as_one_after_the_other() {
+    // (cores of each machine, tasks, machines chosen in order); a task takes 4.
+    type Case = (&'static [u64], usize, &'static [usize]);
+    let cases: [Case; 4] = [
+        (&[8, 8], 0, &[]),
+        (&[8, 8], 3, &[0, 0, 1]),
+        (&[4, 16], 3, &[0, 1, 1]),
+        (&[3, 7], 9, &[1]),
+    ];
+    let job = spec(1, 9);
+    let need = Need::of(&job);
+    for (cores, count, want) in cases {
+        let names = ["n-1", "n-2"];
+        let mut rooms: Vec<Room> =
+            cores.iter().zip(names).map(|(c, id)| room(id, *c, 64)).collect();
+        let mut one_by_one = rooms.clone();
+        let chosen = spread(&job, &need, &mut rooms, None, count);
+        assert_eq!(chosen, want, "{cores:?} {count}");
+        let mut singly = Vec::new();
+        while singly.len() < count
+            && let Some(i) = choose(&job, &need, &one_by_one, None)
+        {
+            one_by_one[i].add(&job, &need);
+            singly.push(i);
+        }
+        assert_eq!(chosen, singly);
+    }
+}
+
+#[test]
+fn jobs_stay_where_they_are_allowed() {
+    let mut job = spec(1, 1);
+    job.hulls = Some(vec!["small".into()]);
+    job.yard = Some("a".into());
+    job.loaners = false;
+    let cases = [
+        ("small", "a", false, true),
+        ("big", "a", false, false),
+        ("small", "b", false, false),
+        ("small", "a", true, false),
+    ];
+    for (hull, zone, spot, want) in cases {
+        assert_eq!(allowed(&job, hull, zone, spot), want, "{hull} {zone} {spot}");
+    }
+    let flavors: Flavors =
+        [flavor("small", 8.0, 64.0), flavor("big", 64.0, 256.0)].map(|f| (f.sku.clone(), f)).into();
+    assert!(can_ever_run(&job, &flavors));
+    job.vcpus = 32.0;
+    assert!(!can_ever_run(&job, &flavors), "the allowed type is too small");
+    job.hulls = None;
+    assert!(can_ever_run(&job, &flavors));
+    job.yard = Some("c".into());
+    assert!(!can_ever_run(&job, &flavors));
+}
+
+#[test]
+fn a_gang_goes_where_all_can_begin_first_on_as_few_machines_as_hold_it() {
+    // 4 cores and 8 GB a task, an image of 1 GB that takes 2 s. Machines: id, free cores, warm.
+    type Machines = &'static [(&'static str, u64, bool)];
+    let cases: [(&str, Machines, usize, Option<&[&str]>); 6] = [
+        ("one holds it", &[("n-1", 8, true), ("n-2", 16, true)], 3, Some(&["n-2"])),
+        ("the tightest that does", &[("n-1", 16, true), ("n-2", 8, true)], 2, Some(&["n-2"])),
+        (
+            "warm ones before a single cold one",
+            &[("n-1", 8, true), ("n-2", 8, true), ("n-3", 64, false)],
+            4,
+            Some(&["n-1", "n-2"]),
+        ),
+        (
+            "one that is cold makes all wait, so cold ones will do",
+            &[("n-1", 4, true), ("n-2", 4, false), ("n-3", 8, false)],
+            2,
+            Some(&["n-3"]),
+        ),
+        ("not all fit", &[("n-1", 8, true), ("n-2", 4, true)], 4, None),
+        ("nothing is there", &[], 1, None),
+    ];
+    let job = spec(1, 1);
+    let need = Need::of(&job);
+    for (what, machines, count, want) in cases {
+        let rooms: Vec<Room> = machines
+            .iter()
+            .map(|(id, cores, warm)| {
+                let mut r = room(id, *cores, 512);
+                if *warm {
+                    r.images.push((job.bundle.clone(), job.size_gb));
+                }
+                r
+            })
+            .collect();
+        let may = vec![true; rooms.len()];
+        let got = pack(&job, &need, &rooms, &may, Some("a"), count).map(|(_, chosen)| {
+            assert_eq!(chosen.len(), count, "{what}");
+            let used: std::collections::BTreeSet<&str> =
+                chosen.iter().map(|i| &*rooms[*i].id.0).collect();
+            used.into_iter().collect::<Vec<_>>()
+        });
+        assert_eq!(got.as_deref(), want, "{what}");
+    }
+    let rooms = [room("n-1", 8, 512)];
+    assert!(pack(&job, &need, &rooms, &[false], None, 1).is_none(), "it may not be used");
+    assert!(pack(&job, &need, &rooms, &[true], Some("b"), 1).is_none(), "another zone");
+}
--- /dev/null
+++ b/src/term/tests.rs
@@ -0,0 +1,43 @@
+//! Tables of cases for `term`.
+
+use super::*;
+
+#[test]
+fn rights_count_from_the_sending_of_what_was_confirmed() {
+    // (renewed, synced, now, may answer, may lead), with a keep-alive of 18 s
+    let cases = [
+        (None, None, 0, false, false),
+        (Some(1_000), None, 1_001, false, true),
+        (None, Some(1_000), 1_001, false, false),
+        (Some(1_000), Some(1_000), 3_800, true, true),
+        (Some(1_000), Some(1_000), 3_900, true, false),
+        (Some(1_000), Some(9_000), 18_900, true, false),
+        (Some(1_000), Some(9_000), 18_990, false, false),
+        (Some(9_000), Some(1_000), 18_990, false, false),
+    ];
+    for (renewed, synced, now, answer, lead) in cases {
+        let mut r = Rights::new(18_000);
+        r.lease = Some(StoreLease(1));
+        if let Some(t) = renewed {
+            r.confirm_renewal(Steady(t));
+            r.confirm_renewal(Steady(t / 2));
+        }
+        if let Some(t) = synced {
+            r.confirm_sync(Steady(t));
+        }
+        let got = (r.may_answer(Steady(now)), r.may_lead(Steady(now)));
+        assert_eq!(got, (answer, lead), "{renewed:?} {synced:?} {now}");
+        r.lose_lease();
+        assert!(!r.may_lead(Steady(now)));
+    }
+}
+
+#[test]
+fn an_absent_nodes_right_is_bounded_from_above() {
+    // A node renews at 0 at the latest, its key vanishes at 3 s at the earliest.
+    let bound = last_right(Steady(3_000), 18_000);
+    let mut r = Rights::new(18_000);
+    r.confirm_renewal(Steady(0));
+    r.confirm_sync(Steady(2_000));
+    assert!(!r.may_answer(bound));
+}
--- /dev/null
+++ b/src/wire/tests.rs
@@ -0,0 +1,127 @@
+//! Tables of cases for `wire`.
+
+use super::*;
+use ciborium::cbor;
+
+/// A plain job of some tasks.
+pub(crate) fn spec(id: u64, tasks: u32) -> JobSpec {
+    JobSpec {
+        r#ref: JobId(id),
+        lane: "lane".into(),
+        owner: "red".into(),
+        shape: Shape::Sweep,
+        urgency: Urgency::Normal,
+        pieces: tasks,
+        vcpus: 4.0,
+        accelerators: 0.0,
+        mem_gb: 8.0,
+        bundle: "img".into(),
+        size_gb: 1.0,
+        hulls: None,
+        yard: None,
+        one_zone: false,
+        scatter: false,
+        loaners: true,
+        guess_s: 30.0,
+        bookmark_s: 0.0,
+        stash_s: 0.0,
+        due_s: None,
+    }
+}
+
+fn changed(field: &str, value: Option<Value>) -> Vec<u8> {
+    let Value::Map(mut map) = to_value(&spec(412, 2)) else {
+        panic!("a job is a map");
+    };
+    map.retain(|(k, _)| k.as_text() != Some(field));
+    if let Some(v) = value {
+        map.push((Value::Text(field.into()), v));
+    }
+    encode(&Value::Map(map))
+}
+
+#[test]
+fn jobs_decode_or_are_refused() {
+    let cases: Vec<(&str, Option<Value>, bool)> = vec![
+        ("Nothing", Some(1.into()), true),
+        ("Vcpus", Some(4.into()), true),
+        ("Vcpus", Some(4.5.into()), true),
+        ("Vcpus", Some("4".into()), false),
+        ("Vcpus", Some(f64::NAN.into()), false),
+        ("Vcpus", Some((-1.0).into()), false),
+        ("Vcpus", None, false),
+        ("DueS", None, true),
+        ("DueS", Some(Value::Null), true),
+        ("DueS", Some(90.into()), true),
+        ("DueS", Some((-1).into()), false),
+        ("Hulls", Some(Value::Null), true),
+        ("Hulls", Some("g8".into()), false),
+        ("Pieces", Some(0.into()), false),
+        ("Pieces", Some(100_000.into()), true),
+        ("Pieces", Some(100_001.into()), false),
+        ("Pieces", Some((-1).into()), false),
+        ("Pieces", Some(1.5.into()), false),
+        ("Ref", Some("wk-1".into()), false),
+        ("Ref", None, false),
+        ("Shape", Some("ring".into()), false),
+        ("Urgency", Some("best_effort".into()), true),
+        ("Urgency", Some("soon".into()), false),
+        ("OneZone", Some(1.into()), false),
+        ("Owner", Some("".into()), false),
+    ];
+    for (field, value, want) in cases {
+        let body = changed(field, value.clone());
+        assert!(is_map(&body));
+        let got = decode::<JobSpec>(&body).and_then(|s| s.check());
+        assert_eq!(got.is_ok(), want, "{field} = {value:?}: {got:?}");
+    }
+}
+
+#[test]
+fn bodies_that_are_no_map_are_seen() {
+    let deep = vec![0x81u8; 5000];
+    let cases: Vec<(Vec<u8>, bool)> = vec![
+        (encode(&cbor!({"a" => [1, {"b" => null}]}).unwrap()), true),
+        (encode(&cbor!([1]).unwrap()), false),
+        (encode(&cbor!("x").unwrap()), false),
+        (vec![], false),
+        (vec![0xff, 0x00], false),
+        (deep, false),
+        ([encode(&cbor!({}).unwrap()), vec![0]].concat(), false),
+    ];
+    for (body, want) in cases {
+        assert_eq!(is_map(&body), want, "{:?}", &body[..body.len().min(8)]);
+    }
+}
+
+#[test]
+fn reports_take_what_this_version_does_not_know() {
+    let body = encode(
+        &cbor!({
+            "Host" => "n-1", "Endpoint" => "10.1.0.2:9000", "Hull" => "g8", "Yard" => "a",
+            "Loaners" => true, "Tenure" => 1, "Tally" => 88, "Baton" => 41, "More" => [1],
+            "Pieces" => [
+                {"Piece" => "wk-000412/3", "Try" => 2, "Stage" => "pondering"},
+                {"Piece" => "wk-000412/4", "Try" => 2, "Stage" => "ended", "Cause" => "whim"},
+            ],
+        })
+        .unwrap(),
+    );
+    let report: Report = decode(&body).unwrap();
+    assert_eq!(report.pieces[0].stage, PieceStage::Unknown);
+    assert_eq!(report.pieces[1].cause, Some(Cause::Unknown));
+    assert_eq!(report.warning_s, None);
+}
+
+#[test]
+fn orders_have_their_published_form() {
+    let order = Order::Kill {
+        piece: TaskId::parse("wk-000377/1").unwrap(),
+        r#try: Attempt(1),
+        leeway_s: 10.0,
+    };
+    let want = cbor!({"Verb" => "kill", "Piece" => "wk-000377/1", "Try" => 1, "LeewayS" => 10.0});
+    assert_eq!(to_value(&order), want.unwrap());
+    let set = Change::Set { path: "a".into(), value: 1.into(), lease: None };
+    assert_eq!(to_value(&set), cbor!({"Set" => "a", "V" => 1}).unwrap());
+}
