--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -564,7 +564,7 @@
         world.every = 2_000 + rhythm.report_ms / 2;
         world.cancel_every = 7;
         let job = |id: u64| JobSpec {
-            one_zone: id % 3 == 1 && id % 4 != 0,
+            one_zone: id % 3 == 1 && !id.is_multiple_of(4),
             scatter: id % 8 == 4,
             ..spec(id, 1 + id as u32 % 3, 8.0)
         };
