--- a/src/core.rs
+++ b/src/core.rs
@@ -136,11 +136,14 @@
     /// Takes the whole store as it was read, `revision` being that of the first page: pages
     /// read later may hold newer items, and versions tell which changes are old.
     pub fn load(&mut self, items: &[Item], revision: Revision) {
-        self.ledger.reset();
-        let mut brought = Brought::default();
-        for item in items {
-            self.ledger.load(item, &mut brought);
-        }
+        let mut replica = Ledger::new(self.me);
+        items.iter().for_each(|item| replica.load(item, &mut Brought::default()));
+        self.take_replica(replica, revision);
+    }
+
+    /// The same for a replica into which it was read.
+    pub fn take_replica(&mut self, replica: Ledger, revision: Revision) {
+        self.ledger.replace(replica);
         self.ledger.revision = revision;
         self.loaded = true;
         self.store_ok = true;
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -325,15 +325,36 @@
         Ledger { me: format!("{}/", me.0), ..Ledger::default() }
     }
 
-    /// Forgets everything that is read anew, keeping what can never change.
-    pub fn reset(&mut self) {
-        let ended = std::mem::take(&mut self.ended);
-        let ended_order = std::mem::take(&mut self.ended_order);
-        let me = std::mem::take(&mut self.me);
-        let mut member_moves = std::mem::take(&mut self.member_moves);
+    /// Takes a replica that was read anew, keeping what can never change.
+    pub fn replace(&mut self, read: Ledger) {
+        let before = std::mem::replace(self, read);
+        for id in before.ended_order {
+            if let Some(end) = before.ended.get(&id) {
+                self.remember_end(id, *end);
+            }
+        }
         // What came and went while the changes were not followed is not known.
-        member_moves.values_mut().for_each(|n| *n += 1);
-        *self = Ledger { me, ended, ended_order, member_moves, ..Ledger::default() };
+        for (node, moves) in before.member_moves {
+            *self.member_moves.entry(node).or_default() += moves + 1;
+        }
+        for (node, speaks) in before.spoke {
+            self.spoke.entry(node).or_insert(speaks);
+        }
+    }
+
+    /// Remembers that a job has ended; false if that was known. The oldest go first: tasks of jobs
+    /// that ended lately may still be on machines, and are killed there because their end is known.
+    fn remember_end(&mut self, id: JobId, end: (JobStage, u32)) -> bool {
+        if self.ended.insert(id, end).is_some() {
+            return false;
+        }
+        self.ended_order.push_back(id);
+        if self.ended.len() > ENDED_KEPT
+            && let Some(old) = self.ended_order.pop_front()
+        {
+            self.ended.remove(&old);
+        }
+        true
     }
 
     /// Takes an item that was read.
@@ -546,18 +567,8 @@
                 self.remember_withdrawn(id, left);
             }
             self.orphaned.remove(&id);
-            if self.ended.insert(id, (end, progress.done.len())).is_none() {
-                self.ended_order.push_back(id);
-                if end == JobStage::Withdrawn {
-                    b.withdrawn.push(id);
-                }
-            }
-            // The oldest go first: tasks of jobs that ended lately may still be on machines, and
-            // are killed there because their end is known.
-            if self.ended.len() > ENDED_KEPT
-                && let Some(old) = self.ended_order.pop_front()
-            {
-                self.ended.remove(&old);
+            if self.remember_end(id, (end, progress.done.len())) && end == JobStage::Withdrawn {
+                b.withdrawn.push(id);
             }
         } else if let Some(job) = self.jobs.get_mut(&id) {
             if job.progress_stamp < stamp {
--- a/src/ledger/tests.rs
+++ b/src/ledger/tests.rs
@@ -128,3 +128,43 @@
     let all = Ledger::with_done(&job, 0..4_000, 2_048).unwrap();
     assert_eq!((all.end, all.done.len()), (Some(JobStage::Done), 4_000));
 }
+
+#[test]
+fn what_ended_lately_is_known_even_among_many_ends() {
+    // All ends were forgotten at once when there were too many: tasks of a job that had been cancelled
+    // just before got no kill any more, and ran on.
+    let mut l = Ledger::new(NodeId(0));
+    let gone = Progress { end: Some(JobStage::Withdrawn), ..Progress::default() };
+    let gone = wire::to_value(&gone);
+    let mut brought = Brought::default();
+    let ends = ENDED_KEPT as u64 + 3;
+    for n in 1..=ends {
+        l.put(&progress_key(JobId(n)), &gone, Revision(n), &mut brought);
+        // What is told once more counts once.
+        l.put(&progress_key(JobId(n)), &gone, Revision(n), &mut brought);
+    }
+    assert_eq!((l.ended.len(), brought.withdrawn.len() as u64), (ENDED_KEPT, ends));
+    for (id, known) in [(1, false), (3, false), (4, true), (ends - 1, true), (ends, true)] {
+        assert_eq!(l.ended.contains_key(&JobId(id)), known, "{id}");
+    }
+}
+
+#[test]
+fn a_replica_that_is_read_anew_keeps_what_cannot_change() {
+    let member = |speaks| MemberRecord { life: Incarnation(9), version: String::new(), speaks };
+    let done = Progress { end: Some(JobStage::Done), ..Progress::default() };
+    let mut l = Ledger::new(NodeId(0));
+    l.apply(&changes(4, vec![set(member_key(NodeId(1)), &member(SPEAKS_ENDED), 3)]));
+    l.apply(&changes(6, vec![dropped(member_key(NodeId(1)), 5)]));
+    l.apply(&changes(8, vec![set(progress_key(JobId(7)), &done, 7)]));
+    let moves = l.member_moves[&NodeId(1)];
+    let mut read = Ledger::new(NodeId(0));
+    let mut b = Brought::default();
+    let other = Item { path: progress_key(JobId(8)), v: wire::to_value(&done), stamp: Revision(9) };
+    read.load(&other, &mut b);
+    l.replace(read);
+    // It came and went while nobody followed; whom the store refuses is told of cancellations.
+    assert!(l.member_moves[&NodeId(1)] > moves && l.members.is_empty());
+    assert!(l.hears_ends(NodeId(1)) && !l.knows_gangs(NodeId(1)) && !l.hears_ends(NodeId(2)));
+    assert_eq!(l.ended.len(), 2);
+}
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -327,3 +327,72 @@
         assert_eq!(finished, Some(done), "{shape:?}");
     }
 }
+
+/// Makes job 1 cancelled, as a peer tells or the store.
+fn cancel(core: &mut Core, ms: u64) {
+    let gone = ledger::Progress { end: Some(JobStage::Withdrawn), ..Default::default() };
+    let brought = core.hear_ended(JobId(1), &gone, Revision(12));
+    core.follow(Moment { steady: Steady(ms), wall: Wall(ms) }, &brought);
+}
+
+#[test]
+fn tasks_of_a_cancelled_job_are_ended_straight_away() {
+    // A machine may reach nobody (mute), and its owner may not be allowed to answer any more.
+    use PieceStage::{Ended, Running};
+    // (its last report's task and token, when that was, when the job is cancelled, whether it is told)
+    let cases = [
+        (Some(Running), 3, 1_000, 1_100, true),
+        (Some(Running), 2, 1_000, 1_100, true), // it has not settled
+        (Some(Running), 3, 1_000, 60_000, true), // no right to answer is left
+        (Some(Ended), 3, 1_000, 1_100, false),
+        (None, 3, 1_000, 1_100, true), // it was to start with the answer, which may be on its way
+    ];
+    for (stage, baton, heard, cancelled, told) in cases {
+        let mut core = node(0);
+        hear(&mut core, heard, &report(1, 5, baton, stage));
+        while !core.to_announce(Steady(heard), 8).is_empty() {}
+        cancel(&mut core, cancelled);
+        let out = core.to_announce(Steady(cancelled), 8);
+        let kills: Vec<&Order> = out.iter().flat_map(|a| &a.orders).collect();
+        let what = format!("{stage:?} {baton} {cancelled}");
+        assert_eq!(kills.len(), usize::from(told), "{what}: {out:?}");
+        let shown = |k: &&Order| matches!(k, Order::Kill { r#try: Attempt(7), .. });
+        assert_eq!(kills.iter().all(shown), stage.is_some() || !told, "{what}");
+        let again = core.to_announce(Steady(cancelled), 8);
+        assert!(again.iter().all(|a| a.orders.is_empty()), "{what}: told once");
+    }
+}
+
+#[test]
+fn a_machine_that_only_commands_reach_is_told_of_earlier_cancellations() {
+    // The leader changed after the cancellation, and no report of the machine reaches the new owner.
+    let mut core = node(0);
+    core.rights.confirm_renewal(Steady(1_000));
+    core.rights.confirm_sync(Steady(1_000));
+    cancel(&mut core, 1_000);
+    assert!(core.part.is_newest(&report(1, 5, 2, None)));
+    let asked = core.to_announce(Steady(1_000), 8);
+    assert_eq!((asked.len(), asked[0].orders.len()), (1, 0));
+    core.on_announced(Steady(1_100), &asked[0], &report(1, 6, 3, Some(PieceStage::Running)));
+    let then = core.to_announce(Steady(1_200), 8);
+    assert_eq!((then.len(), then[0].orders.len()), (1, 1));
+}
+
+#[test]
+fn nothing_starts_without_fresh_news_of_cancellations() {
+    // (when the replica was last current, when the machine reports, whether it is answered, starts)
+    for (synced, now, answered, starts) in
+        [(1_000, 1_500, true, 1), (1_000, 4_400, true, 1), (1_000, 4_600, true, 0)]
+    {
+        let mut core = node(0);
+        core.rights.confirm_renewal(Steady(now));
+        core.rights.confirm_sync(Steady(synced));
+        let got = match core.on_report(Steady(now), &report(1, 5, 3, None)) {
+            ReportAnswer::Take(reply) => (true, reply.orders.len()),
+            _ => (false, 0),
+        };
+        assert_eq!(got, (answered, starts), "{synced} {now}");
+        // It starts once the store serves this node again.
+        assert_eq!(hear(&mut core, now + 600, &report(1, 6, 3, None)).1, 1 - starts);
+    }
+}
--- a/src/place/tests.rs
+++ b/src/place/tests.rs
@@ -195,3 +195,32 @@
     assert!(pack(&job, &need, &rooms, &[false], None, 1).is_none(), "it may not be used");
     assert!(pack(&job, &need, &rooms, &[true], Some("b"), 1).is_none(), "another zone");
 }
+
+#[test]
+fn what_must_run_at_once_needs_zones_that_allow_it() {
+    // Accepted, such jobs would wait for ever.
+    // (shape, tasks, one zone, scattered, the only zone, zones of the type, whether it can run)
+    use Shape::{Gang, Service, Sweep};
+    let cases = [
+        (Gang, 2, true, true, None, 2, false),
+        (Service, 2, true, true, None, 2, false),
+        (Sweep, 2, true, true, None, 2, true), // one after the other
+        (Gang, 1, true, true, None, 1, true),
+        (Gang, 2, false, true, None, 2, true),
+        (Gang, 2, false, true, None, 1, false),
+        (Gang, 2, false, true, Some("a"), 2, false),
+        (Service, 5, false, true, Some("a"), 2, false),
+        (Service, 5, true, false, Some("a"), 2, true),
+        (Gang, 5, true, false, None, 1, true),
+    ];
+    for (shape, pieces, one_zone, scatter, yard, zones, can) in cases {
+        let yard = yard.map(String::from);
+        let job = JobSpec { shape, one_zone, scatter, yard, ..spec(1, pieces) };
+        let mut small = flavor("small", 8.0, 64.0);
+        small.yards.truncate(zones);
+        let flavors = Flavors::from([("small".to_string(), small)]);
+        assert!(can_ever_run(&job, &flavors));
+        let what = format!("{shape:?} {pieces} {one_zone} {scatter} {zones}");
+        assert_eq!(zones_allow_all(&job, &flavors), can, "{what}");
+    }
+}
--- a/src/service.rs
+++ b/src/service.rs
@@ -18,7 +18,7 @@
 use crate::core::{Core, Moment, accept_txn};
 use crate::http::{self, Client, Kind, Response, ServerLimits};
 use crate::lead::Lead;
-use crate::ledger::{self, Brought};
+use crate::ledger::{self, Brought, Ledger};
 use crate::meter::{Meter, Work};
 use crate::model::{Incarnation, JobId, NodeId, Revision, Steady, Term, Wall};
 use crate::part::{Announcement, ReportAnswer};
@@ -26,7 +26,7 @@
 use crate::relay;
 use crate::state::{Committed, StateClient, StateError};
 use crate::term::LEASE_MS;
-use crate::wire::{self, Change, Direct, Guard, Item, JobSpec, Rental, Txn};
+use crate::wire::{self, Change, Direct, Guard, JobSpec, Rental, Txn};
 
 /// Longest wait between two epochs; arrivals and reports bring them sooner.
 const EPOCH: Duration = Duration::from_millis(1_000);
@@ -260,18 +260,21 @@
         let sent = self.now();
         let mut after: Option<String> = None;
         let mut first: Option<Revision> = None;
-        let mut items: Vec<Item> = Vec::new();
+        // Pages as they were read take many times what the replica keeps of them, so each is taken at once.
+        let mut replica = Ledger::new(self.me);
+        let mut items = 0;
         loop {
             let page = self.store.page("", after.as_deref()).await?;
             first.get_or_insert(page.epoch);
             after = page.items.last().map(|i| i.path.clone());
-            items.extend(page.items);
+            items += page.items.len();
+            page.items.iter().for_each(|item| replica.load(item, &mut Brought::default()));
             if !page.truncated || after.is_none() {
                 break;
             }
         }
-        self.core.borrow_mut().load(&items, first.unwrap_or_default());
-        debug!(items = items.len(), sent = sent.0, "loaded");
+        self.core.borrow_mut().take_replica(replica, first.unwrap_or_default());
+        debug!(items, sent = sent.0, "loaded");
         self.pull(Duration::ZERO).await?;
         let all =
             Brought { jobs: true, progress: true, lead: true, relay: true, ..Brought::default() };
--- a/src/term/tests.rs
+++ b/src/term/tests.rs
@@ -41,3 +41,26 @@
     r.confirm_sync(Steady(2_000));
     assert!(!r.may_answer(bound));
 }
+
+#[test]
+fn a_start_needs_a_much_fresher_proof_than_keeping_alive() {
+    // An owner that the store refuses started what others had confirmed as cancelled, until its right
+    // to answer ended. (keep-alive, renewed, synced, now, may start, may answer)
+    let cases = [
+        (18_000, 1_000, 1_000, 4_400, true, true),
+        (18_000, 1_000, 1_000, 4_500, false, true),
+        (18_000, 9_000, 1_000, 9_100, false, true),
+        // Being current is what counts; a lease that is not renewed costs the right to answer.
+        (18_000, 1_000, 9_000, 12_000, true, true),
+        (18_000, 1_000, 20_000, 20_100, false, false),
+        (2_000, 1_000, 1_000, 2_900, true, true),
+        (2_000, 1_000, 1_000, 3_000, false, false),
+    ];
+    for (keep_alive, renewed, synced, now, start, answer) in cases {
+        let mut r = Rights::new(keep_alive);
+        r.confirm_renewal(Steady(renewed));
+        r.confirm_sync(Steady(synced));
+        let got = (r.may_start(Steady(now)), r.may_answer(Steady(now)));
+        assert_eq!(got, (start, answer), "{keep_alive} {renewed} {synced} {now}");
+    }
+}
--- a/tests/upgrade/main.rs
+++ b/tests/upgrade/main.rs
@@ -7,17 +7,18 @@
 
 use willowshore::capacity::Load;
 use willowshore::ledger::{
-    Accepted, EpochRecord, LeadRecord, MachineGroup, MachineRecord, MemberRecord, Progress, SPEAKS,
-    TermRecord,
+    Accepted, Brought, EpochRecord, LeadRecord, Ledger, MachineGroup, MachineRecord, MemberRecord,
+    Progress, SPEAKS, TermRecord,
 };
 use willowshore::model::{
-    Attempt, Incarnation, JobId, MachineId, NodeId, PlanSeq, Ranges, Session, TaskId, Term, Wall,
+    Attempt, Incarnation, JobId, MachineId, NodeId, PlanSeq, Ranges, Revision, Session, TaskId,
+    Term, Wall,
 };
 use willowshore::peer::{
     self, Ask, Grant, MachineView, OwnerNews, Plan, PlanBody, Relayed, Standing, Stop, Stray,
     Summary, TaskView, Tell, Waits,
 };
-use willowshore::wire::{self, JobSpec, JobStage, PieceStage, Shape, Urgency};
+use willowshore::wire::{self, Item, JobSpec, JobStage, PieceStage, Shape, Urgency};
 
 /// What version 0.1 wrote, by name.
 fn fixtures() -> BTreeMap<&'static str, Vec<u8>> {
@@ -268,3 +269,20 @@
     let sent = wire::encode(&numbers).len();
     assert!(wire::stored_bytes(&numbers) >= sent.max(serde_json::to_vec(&numbers).unwrap().len()));
 }
+
+#[test]
+fn only_versions_that_read_it_are_told_of_cancellations_directly() {
+    // (what a member says that it understands, whether it is told)
+    for (speaks, told) in [(0, false), (1, false), (2, true), (3, true)] {
+        let mut ledger = Ledger::new(NodeId(0));
+        let member = MemberRecord { life: Incarnation(77), version: String::new(), speaks };
+        let item = Item { path: "n/1".into(), v: wire::to_value(&member), stamp: Revision(3) };
+        ledger.load(&item, &mut Brought::default());
+        assert_eq!(ledger.hears_ends(NodeId(1)), told, "{speaks}");
+    }
+    let gone = Progress { end: Some(JobStage::Withdrawn), ..Progress::default() };
+    let sent = peer::encode(&Ask::Ended(JobId(412), gone.clone(), Revision(9)));
+    let read = peer::decode::<Ask>(&sent);
+    assert!(matches!(read, Some(Ask::Ended(JobId(412), p, Revision(9))) if p == gone));
+    assert!(rmp_serde::from_slice::<frozen::Ask>(&sent).is_err(), "the version before refuses it");
+}
