--- a/src/lead/tests.rs
+++ b/src/lead/tests.rs
@@ -528,8 +528,16 @@
                 assert!(txn.apply.len() <= ops, "{now:?} {next:?}: {} changes", txn.apply.len());
                 assert!(txn.guards.len() <= 4 * ops);
                 revision += 1;
+                let guards: BTreeMap<&str, Revision> =
+                    txn.guards.iter().map(|g| (g.path.as_str(), g.stamp)).collect();
+                assert!(guards.contains_key(ledger::LEAD_KEY));
                 for change in &txn.apply {
                     let wire::Change::Set { path, value, .. } = change else { continue };
+                    // Carried out late, or once more, it puts nothing older back: without this, a
+                    // machine and grants that a later write had added were lost (random day 1144
+                    // of the simulation as it was then).
+                    let before = store.get(path).map_or(Revision(0), |i| i.stamp);
+                    assert_eq!(guards.get(path.as_str()), Some(&before), "{path}");
                     let bytes = wire::stored_bytes(value);
                     assert!(bytes as f64 <= kb * 1024.0, "{now:?} {next:?}: {path} has {bytes}");
                     let stamp = Revision(revision);
