A job waits 75 s at most without a task anywhere, then some of its tasks go first; also once it has begun

The bound was 100 s and held only for jobs that had never begun. Simulated: World::busy beyond its team's limit left jobs waiting for more than 90 s.

--- a/src/lead.rs
+++ b/src/lead.rs
@@ -30,8 +30,13 @@
 const FADE: f64 = 0.995;
 /// Least time between two new terms that only balance the parts.
 const REBALANCE_MS: u64 = 30_000;
-/// How long a job waits at most before its first tasks go before others.
-const STARVED_MS: u64 = 100_000;
+/// How long a job waits at most, without a task on a machine, before some of its tasks go before
+/// others. What is started then runs before 90 s are over. A team at its limit always has a few cores
+/// free between the end of a task and the start of the next one, so others than the first in line
+/// would be left waiting beside them.
+const STARVED_MS: u64 = 75_000;
+/// How long a gang that fits nowhere waits before machines are cleared for it.
+const CLEARED_MS: u64 = 33_000;
 /// The rank that it has until it has begun.
 const STARVED_RANK: u32 = 2;
 /// Importance per core that it has at least until then.
@@ -149,6 +154,8 @@
     decided: Option<Steady>,
     machines_written: Steady,
     load_written: Steady,
+    /// Since when open jobs have had no task on a machine or on its way there.
+    idle: FxHashMap<JobId, Steady>,
     /// Gangs granted in this term, and those that are being stopped.
     gangs: FxHashMap<JobId, gang::Gang>,
     halts: BTreeMap<JobId, gang::Halt>,
@@ -205,6 +212,7 @@
             decided: None,
             machines_written: Steady(0),
             load_written: ctx.now,
+            idle: FxHashMap::default(),
             gangs: FxHashMap::default(),
             halts: BTreeMap::new(),
             kept: Vec::new(),
@@ -480,6 +488,7 @@
         let counts = std::mem::take(&mut filling.counts);
         let failing: HashSet<JobId> =
             fleet.nodes.values().flat_map(|n| n.failing.iter().map(|j| JobId(*j))).collect();
+        self.note_idle(ctx, &counts);
         let demands = self.demands(ctx, &counts, &failing);
         let bounds = Bounds {
             held: filling.rooms.iter().fold(Cores(0), |sum, r| {
@@ -527,6 +536,24 @@
         filling
     }
 
+    /// Notes which jobs have nothing on machines or on its way there, and since when.
+    fn note_idle(&mut self, ctx: &Context<'_>, counts: &FxHashMap<JobId, (u32, u32)>) {
+        let held = |id: &JobId| counts.get(id).is_some_and(|c| c.0 > 0);
+        self.idle.retain(|id, _| ctx.ledger.jobs.contains_key(id) && !held(id));
+        for id in ctx.ledger.jobs.keys().filter(|id| !held(id)) {
+            self.idle.entry(*id).or_insert(ctx.now);
+        }
+    }
+
+    /// Whether a job has waited long without a task of it being anywhere: since it was accepted, or
+    /// since the last one ended.
+    fn starved(&self, ctx: &Context<'_>, job: &Job, held: u32) -> bool {
+        let idle = self.idle.get(&job.spec.r#ref).map_or(0, |at| ctx.now.since(*at));
+        let begun = !job.progress.done.is_empty();
+        let waits = if begun { idle } else { idle.max(waited_ms(ctx, job)) };
+        held == 0 && waits > STARVED_MS
+    }
+
     /// Keeps machines from others that jobs need which have waited long and fit nowhere: else
     /// small tasks would take every core that a large one waits for.
     fn hold_back(
@@ -542,13 +569,13 @@
             let need = Need::of(&job.spec);
             let running = counts.get(&d.job).map_or(0, |c| c.0);
             if job.spec.shape == Shape::Gang {
-                if running == 0 && waited_ms(ctx, job) > STARVED_MS / 3 {
+                if running == 0 && waited_ms(ctx, job) > CLEARED_MS {
                     hold_back_for_gang(ctx, job, &need, &mut filling.rooms);
                 }
                 continue;
             }
             let fits = |r: &Room| r.takes(&job.spec, &need, None);
-            if !starved(ctx, job, running) || filling.rooms.iter().any(fits) {
+            if !self.starved(ctx, job, running) || filling.rooms.iter().any(fits) {
                 continue;
             }
             // What is kept for gangs is not kept from work that has waited long.
@@ -685,7 +712,7 @@
                 Shape::Gang => self.gang_tries(job, held, limbo),
                 Shape::Sweep | Shape::Service => tries,
             };
-            let starved = starved(ctx, job, held);
+            let starved = self.starved(ctx, job, held);
             let gang = job.spec.shape == Shape::Gang;
             if starved {
                 // Nobody waits without bound: it begins with a few tasks before others go on, or
@@ -1106,11 +1133,6 @@
     base * pressing * if required { 1.5 } else { 1.0 }
 }
 
-/// Whether a job has waited long without a task of it having begun.
-fn starved(ctx: &Context<'_>, job: &Job, held: u32) -> bool {
-    held == 0 && job.progress.done.is_empty() && waited_ms(ctx, job) > STARVED_MS
-}
-
 /// Milliseconds since a job was accepted.
 fn waited_ms(ctx: &Context<'_>, job: &Job) -> u64 {
     ctx.wall.0.saturating_sub(job.at.0)
--- a/src/lead/tests.rs
+++ b/src/lead/tests.rs
@@ -378,16 +378,31 @@
 
 #[test]
 fn nobody_waits_without_bound() {
-    // (age in s, tasks done, held, starved); a job due after 100 s.
-    let cases = [(99, 0, 0, false), (101, 0, 0, true), (101, 1, 0, false), (101, 0, 1, false)];
+    // (age in s, seconds since it had a task anywhere, tasks done, held, starved); a job due after 100 s.
+    // Nobody may wait 90 s beside a machine with room while its team is under its limit: seen on
+    // a recorded day, where a team at its limit left three jobs waiting beside the cores that
+    // are free between two tasks.
+    let cases = [
+        (74, 74, 0, 0, false),
+        (76, 0, 0, 0, true),
+        (76, 0, 1, 0, false),
+        (76, 74, 1, 0, false),
+        (300, 76, 1, 0, true),
+        (300, 76, 0, 1, false),
+    ];
     let mut core = leader();
-    for (age_s, done, held, want) in cases {
-        let moment = Moment { steady: Steady(1), wall: Wall(1 + age_s * 1_000) };
+    for (age_s, idle_s, done, held, want) in cases {
+        let moment = Moment { steady: Steady(400_000), wall: Wall(1 + age_s * 1_000) };
+        if let Some(lead) = &mut core.lead {
+            lead.idle.insert(JobId(1), Steady(400_000 - idle_s * 1_000));
+        }
         if let Some(job) = core.ledger.jobs.get_mut(&JobId(1)) {
             job.progress.done = Ranges::span(0, done);
         }
-        let got = core.with_lead(moment, |_, ctx| starved(ctx, &ctx.ledger.jobs[&JobId(1)], held));
-        assert_eq!(got, Some(want), "{age_s} {done} {held}");
+        let starved =
+            |l: &mut Lead, ctx: &Context<'_>| l.starved(ctx, &ctx.ledger.jobs[&JobId(1)], held);
+        let got = core.with_lead(moment, starved);
+        assert_eq!(got, Some(want), "{age_s} {idle_s} {done} {held}");
     }
     // Within a rank, age wins in the end over work that is still in time.
     let weigh = |core: &mut Core, age_s: u64| {
--- a/tests/sim/main.rs
+++ b/tests/sim/main.rs
@@ -430,6 +430,20 @@
     assert!(!world.unfinished().is_empty(), "it was not crowded");
 }
 
+#[test]
+fn a_team_at_its_limit_leaves_nobody_waiting() {
+    // More comes than its limit holds; between two tasks a few cores are free all the time.
+    for seed in 1..=5 {
+        for (rhythm, every) in [(BRISK, 1_800), (SLOW, 3_000)] {
+            let mut world = World::busy(seed, rhythm);
+            world.every = every;
+            world.run(&[], 420_000);
+            let broken = &world.checker.broken;
+            assert!(broken.is_empty(), "{seed} {rhythm:?}: {broken:?}");
+        }
+    }
+}
+
 #[test]
 fn a_fleet_of_many_machines_keeps_the_rules_and_its_messages_small() {
     // (what, failures): the largest arrays, all machines in use, at the rhythm of large fleets.
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -226,7 +226,7 @@
     told: BTreeSet<u64>,
     wanted_cancels: BTreeSet<u64>,
     /// Milliseconds between two submissions.
-    every: u64,
+    pub every: u64,
     /// Controllers that behave like the version before gangs.
     old: [bool; 3],
     /// Limits of the store to come, with which the new version is run.
