The bound of 60 s is for teams at half of their limit and more; others keep 100 s

Cause: without limits, jobs of 32 cores that fit nowhere yet had machines cleared for them earlier, and went before what would still have been in time. Where no machine has room nobody is left waiting beside one, so teams without a limit keep the old rule.

--- a/src/lead.rs
+++ b/src/lead.rs
@@ -30,11 +30,15 @@
 const FADE: f64 = 0.995;
 /// Least time between two new terms that only balance the parts.
 const REBALANCE_MS: u64 = 30_000;
-/// How long a job waits at most, without a task on a machine, before some of its tasks go before
-/// others. What is granted then runs within a few reports, and so before 90 s are over. A team at its limit always has a few cores
-/// free between the end of a task and the start of the next one, so others than the first in line
-/// would be left waiting beside them.
-const STARVED_MS: u64 = 60_000;
+/// How long a job waits at most before its first tasks go before others.
+const STARVED_MS: u64 = 100_000;
+/// The same in a team at its limit, for a job without a task on a machine, whether it has begun or
+/// not. What is granted then runs within a few reports, and so before 90 s are over. Such a team
+/// always has a few cores free between the end of a task and the start of the next one, so others
+/// than the first in line would be left waiting beside them.
+const STARVED_AT_LIMIT_MS: u64 = 60_000;
+/// Part of its limit from which on a team counts as being at it.
+const AT_LIMIT: f64 = 0.5;
 /// How long a gang that fits nowhere waits before machines are cleared for it.
 const CLEARED_MS: u64 = 33_000;
 /// The rank that it has until it has begun.
@@ -489,7 +493,13 @@
         let failing: HashSet<JobId> =
             fleet.nodes.values().flat_map(|n| n.failing.iter().map(|j| JobId(*j))).collect();
         self.note_idle(ctx, &counts);
-        let demands = self.demands(ctx, &counts, &failing);
+        let teams = ctx.settings.params.teams.iter().zip(&filling.used);
+        let at_limit: Vec<bool> = teams
+            .map(|(t, used)| {
+                t.core_limit().is_some_and(|l| used.0.amount() >= l.amount() * AT_LIMIT)
+            })
+            .collect();
+        let demands = self.demands(ctx, &counts, &failing, &at_limit);
         let bounds = Bounds {
             held: filling.rooms.iter().fold(Cores(0), |sum, r| {
                 let total = ctx.flavors.get(&*r.hull).map_or(Cores(0), |f| Cores::offer(f.vcpus));
@@ -545,13 +555,16 @@
         }
     }
 
-    /// Whether a job has waited long without a task of it being anywhere: since it was accepted, or
-    /// since the last one ended.
-    fn starved(&self, ctx: &Context<'_>, job: &Job, held: u32) -> bool {
-        let idle = self.idle.get(&job.spec.r#ref).map_or(0, |at| ctx.now.since(*at));
+    /// Whether a job has waited long without a task of it being anywhere: since it was accepted, or, in
+    /// a team at its limit, since the last one ended.
+    fn starved(&self, ctx: &Context<'_>, job: &Job, held: u32, at_limit: bool) -> bool {
         let begun = !job.progress.done.is_empty();
-        let waits = if begun { idle } else { idle.max(waited_ms(ctx, job)) };
-        held == 0 && waits > STARVED_MS
+        let waits = if begun { 0 } else { waited_ms(ctx, job) };
+        if held > 0 || !at_limit {
+            return held == 0 && waits > STARVED_MS;
+        }
+        let idle = self.idle.get(&job.spec.r#ref).map_or(0, |at| ctx.now.since(*at));
+        idle.max(waits) > STARVED_AT_LIMIT_MS
     }
 
     /// Keeps machines from others that jobs need which have waited long and fit nowhere: else
@@ -575,7 +588,7 @@
                 continue;
             }
             let fits = |r: &Room| r.takes(&job.spec, &need, None);
-            if !self.starved(ctx, job, running) || filling.rooms.iter().any(fits) {
+            if !self.starved(ctx, job, running, false) || filling.rooms.iter().any(fits) {
                 continue;
             }
             // What is kept for gangs is not kept from work that has waited long.
@@ -689,6 +702,7 @@
         ctx: &Context<'_>,
         counts: &FxHashMap<JobId, (u32, u32)>,
         failing: &HashSet<JobId>,
+        at_limit: &[bool],
     ) -> Vec<Demand> {
         let required = within_guarantees(ctx);
         let ranks: HashMap<JobId, u32> =
@@ -712,7 +726,8 @@
                 Shape::Gang => self.gang_tries(job, held, limbo),
                 Shape::Sweep | Shape::Service => tries,
             };
-            let starved = self.starved(ctx, job, held);
+            let at_limit = at_limit.get(team).copied().unwrap_or(false);
+            let starved = self.starved(ctx, job, held, at_limit);
             let gang = job.spec.shape == Shape::Gang;
             if starved {
                 // Nobody waits without bound: it begins with a few tasks before others go on, or
--- a/src/lead/tests.rs
+++ b/src/lead/tests.rs
@@ -378,20 +378,26 @@
 
 #[test]
 fn nobody_waits_without_bound() {
-    // (age in s, seconds since it had a task anywhere, tasks done, held, starved); a job due after 100 s.
+    // (age in s, seconds since it had a task anywhere, tasks done, held, team at its limit, starved); a
+    // job due after 100 s.
     // Nobody may wait 90 s beside a machine with room while its team is under its limit: seen on
     // a recorded day, where a team at its limit left three jobs waiting beside the cores that
     // are free between two tasks.
     let cases = [
-        (59, 59, 0, 0, false),
-        (61, 0, 0, 0, true),
-        (61, 0, 1, 0, false),
-        (61, 59, 1, 0, false),
-        (300, 61, 1, 0, true),
-        (300, 61, 0, 1, false),
+        (99, 99, 0, 0, false, false),
+        (101, 0, 0, 0, false, true),
+        (101, 0, 1, 0, false, false),
+        (101, 0, 0, 1, false, false),
+        (300, 300, 1, 0, false, false),
+        (59, 59, 0, 0, true, false),
+        (61, 0, 0, 0, true, true),
+        (61, 0, 1, 0, true, false),
+        (61, 59, 1, 0, true, false),
+        (300, 61, 1, 0, true, true),
+        (300, 61, 0, 1, true, false),
     ];
     let mut core = leader();
-    for (age_s, idle_s, done, held, want) in cases {
+    for (age_s, idle_s, done, held, at_limit, want) in cases {
         let moment = Moment { steady: Steady(400_000), wall: Wall(1 + age_s * 1_000) };
         if let Some(lead) = &mut core.lead {
             lead.idle.insert(JobId(1), Steady(400_000 - idle_s * 1_000));
@@ -399,10 +405,11 @@
         if let Some(job) = core.ledger.jobs.get_mut(&JobId(1)) {
             job.progress.done = Ranges::span(0, done);
         }
-        let starved =
-            |l: &mut Lead, ctx: &Context<'_>| l.starved(ctx, &ctx.ledger.jobs[&JobId(1)], held);
+        let starved = |l: &mut Lead, ctx: &Context<'_>| {
+            l.starved(ctx, &ctx.ledger.jobs[&JobId(1)], held, at_limit)
+        };
         let got = core.with_lead(moment, starved);
-        assert_eq!(got, Some(want), "{age_s} {idle_s} {done} {held}");
+        assert_eq!(got, Some(want), "{age_s} {idle_s} {done} {held} {at_limit}");
     }
     // Within a rank, age wins in the end over work that is still in time.
     let weigh = |core: &mut Core, age_s: u64| {
