--- a/src/part.rs
+++ b/src/part.rs
@@ -377,7 +377,7 @@
         self.heard = env.now;
         // A completed task stays completed whoever reports it and however late.
         self.note_finished(env.now, env.ledger, report);
-        if !env.may_answer || self.term == Term(0) || report.baton > self.term {
+        if !env.may_answer || self.term == Term(0) || report.token > self.term {
             return ReportAnswer::Refuse;
         }
         if env.ledger.machine_gone(&report.host) {
@@ -413,7 +413,7 @@
 
     /// Whether a report is newer than all others of its machine; remembers it if so.
     fn is_newest(&mut self, report: &Report) -> bool {
-        let order = (report.tenure, report.tally);
+        let order = (report.session, report.sequence);
         if let Some(newest) = self.latest.get_mut(&report.host) {
             if order <= newest.order {
                 return false;
@@ -446,7 +446,7 @@
             self.doubted.retain(|_, at| now.since(*at) < DOUBT_AGAIN_MS);
         }
         self.doubted.insert(id.clone(), now);
-        self.doubts.push((id.clone(), report.tenure));
+        self.doubts.push((id.clone(), report.session));
     }
 
     /// Machines that are to be asked or told something straight away, up to `most`: those that may
@@ -541,7 +541,7 @@
             return;
         }
         self.note_finished(env.now, env.ledger, report);
-        if asked.doubted.is_some_and(|newest| (report.tenure, report.tally) <= newest) {
+        if asked.doubted.is_some_and(|newest| (report.session, report.sequence) <= newest) {
             tracing::info!(machine = %id, "was restarted");
             self.reborn.insert(id.clone());
             self.news = true;
@@ -553,7 +553,7 @@
         {
             return;
         }
-        if report.baton == self.term && self.owners.get(id) == Some(&self.me) {
+        if report.token == self.term && self.owners.get(id) == Some(&self.me) {
             self.take_state(env, report);
             // It may report to nobody, and then nobody's answer ends what is not wanted any more.
             if report.pieces.iter().any(|p| is_withdrawn(env.ledger, p.piece.job)) {
@@ -586,13 +586,13 @@
     /// deaf, or somebody repeats old reports of it: it gets no answer for a whole lease, so
     /// that its tasks are proven gone and no proof waits for it.
     fn heeds(&mut self, env: &Surroundings<'_>, report: &Report) -> bool {
-        if report.baton == self.term {
+        if report.token == self.term {
             self.unheeded.remove(&report.host);
             return true;
         }
         let now = env.now;
         let fresh =
-            Unheeded { first: now, session: report.tenure, answers: 0, refuse_until: Steady(0) };
+            Unheeded { first: now, session: report.session, answers: 0, refuse_until: Steady(0) };
         let u = self.unheeded.entry(report.host.clone()).or_insert_with(|| fresh.clone());
         if u.refuse_until > now {
             return false;
@@ -601,7 +601,7 @@
             *u = fresh; // It gets another chance.
         }
         let ignored = u.answers >= DEAF_ANSWERS && now.since(u.first) > DEAF_MS;
-        if ignored || (u.answers > 0 && report.tenure > u.session) {
+        if ignored || (u.answers > 0 && report.session > u.session) {
             u.refuse_until = now.plus(env.lease_ms + 4_000);
             tracing::info!(machine = %report.host, "does not hear its answers");
             return false;
@@ -642,7 +642,7 @@
         cut: bool,
     ) -> ReportAnswer {
         let now = env.now;
-        let hears = report.baton == self.term;
+        let hears = report.token == self.term;
         let record = self.strays.entry(report.host.clone()).or_insert_with(|| StrayRecord {
             hull: report.hull.clone(),
             zone: report.yard.clone(),
@@ -659,7 +659,7 @@
         record.hears = hears;
         self.answered.insert(report.host.clone(), now);
         ReportAnswer::Take(ReportReply {
-            baton: self.term,
+            token: self.term,
             orders: self.kills(env.ledger, &report.pieces),
         })
     }
@@ -728,11 +728,11 @@
         let next = self.number + 1;
         let machine =
             self.machines.entry(report.host.clone()).or_insert_with(|| Machine::new(report, now));
-        let settled = report.baton == self.term;
+        let settled = report.token == self.term;
         let warned = report.warning_s.is_some();
         machine.leaves = report.warning_s.map(|s| now.plus((s.max(0.0) * 1000.0) as u64));
         let shunned = machine.shun_until;
-        let state = (report.tenure, settled, warned);
+        let state = (report.session, settled, warned);
         let turned = state != (machine.session, machine.settled, machine.warned);
         (machine.session, machine.settled, machine.warned) = state;
         machine.heard = now;
@@ -764,7 +764,7 @@
         self.clear_ended(env, report, &mut orders);
         self.start_granted(env, &report.host, freed, &mut orders);
         self.answered.insert(report.host.clone(), now);
-        ReportAnswer::Take(ReportReply { baton: self.term, orders })
+        ReportAnswer::Take(ReportReply { token: self.term, orders })
     }
 
     /// Clears ended tasks whose outcome no longer depends on the worker's memory, and learns
--- a/src/part/machine.rs
+++ b/src/part/machine.rs
@@ -54,7 +54,7 @@
             zone: report.yard.as_str().into(),
             spot: report.loaners,
             endpoint: report.endpoint.as_str().into(),
-            session: report.tenure,
+            session: report.session,
             settled: false,
             heard: now,
             warned: false,
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -52,7 +52,7 @@
     core
 }
 
-fn report(tenure: u64, tally: u64, baton: u64, stage: Option<PieceStage>) -> Report {
+fn report(session: u64, sequence: u64, token: u64, stage: Option<PieceStage>) -> Report {
     let piece = |stage| Piece {
         piece: TASK,
         r#try: Attempt(7),
@@ -65,9 +65,9 @@
         hull: "small".into(),
         yard: "a".into(),
         loaners: false,
-        tenure: Session(tenure),
-        tally,
-        baton: Term(baton),
+        session: Session(session),
+        sequence,
+        token: Term(token),
         warning_s: None,
         pieces: stage.map(piece).into_iter().collect(),
     }
@@ -107,15 +107,16 @@
         doubted: None,
         orders: vec![],
     };
-    // (tenure, tally, token, whether it is settled then); the session was not known at first.
-    for (tenure, tally, baton, settled) in [(2, 6, 2, false), (2, 6, 3, false), (2, 7, 3, true)] {
-        core.on_announced(Steady(6_000), &asked, &report(tenure, tally, baton, Some(Running)));
+    // (session, sequence, token, whether it is settled then); the session was not known at first.
+    for (session, sequence, token, settled) in [(2, 6, 2, false), (2, 6, 3, false), (2, 7, 3, true)]
+    {
+        core.on_announced(Steady(6_000), &asked, &report(session, sequence, token, Some(Running)));
         let now = core.summary(Steady(6_000), 900_000);
         let is = now.machines.iter().any(|m| m.settled && m.tasks.len() == 1);
-        assert_eq!(is, settled, "{tenure} {tally} {baton}");
+        assert_eq!(is, settled, "{session} {sequence} {token}");
         // Seen on a bench day: a machine whose session had begun just now counted as silent
         // since it was rented, so what ran on it was started again.
-        assert_eq!(now.answered.len(), usize::from(settled), "{tenure} {tally} {baton}");
+        assert_eq!(now.answered.len(), usize::from(settled), "{session} {sequence} {token}");
     }
     assert_eq!(told(&mut core, 9_000), 0);
     // A later answer may be older than a start on its way: it changes nothing any more.
@@ -129,7 +130,7 @@
     // alive as one that cannot reach its owner, and a new term came every 15 s.
     use PieceStage::Running;
     // (order of its answer to the question, whether it was restarted)
-    for (tenure, tally, restarted) in [(2, 10, false), (3, 1, false), (1, 4, true)] {
+    for (session, sequence, restarted) in [(2, 10, false), (3, 1, false), (1, 4, true)] {
         let mut core = node(0);
         hear(&mut core, 1_000, &report(2, 9, 3, Some(Running)));
         assert!(core.to_announce(Steady(1_000), 8).is_empty());
@@ -138,9 +139,9 @@
         assert_eq!(asked.len(), 1);
         hear(&mut core, 1_200, &report(1, 2, 0, None));
         assert!(core.to_announce(Steady(1_200), 8).is_empty(), "it is asked once in a while");
-        core.on_announced(Steady(1_300), &asked[0], &report(tenure, tally, 3, None));
+        core.on_announced(Steady(1_300), &asked[0], &report(session, sequence, 3, None));
         let told = core.summary(Steady(1_300), 900_000).reborn;
-        assert_eq!(!told.is_empty(), restarted, "{tenure} {tally}");
+        assert_eq!(!told.is_empty(), restarted, "{session} {sequence}");
     }
 }
 
@@ -194,7 +195,7 @@
 #[test]
 fn a_machine_that_never_shows_the_token_gets_no_answer_for_a_lease() {
     // Seen as a deaf machine: its reports kept it alive in the leader's eyes, so that
-    // every proof of where a task is waited for it. (ms, tenure, tally, baton, answered)
+    // every proof of where a task is waited for it. (ms, session, sequence, token, answered)
     type Reports = &'static [(u64, u64, u64, u64, bool)];
     let cases: [Reports; 3] = [
         &[
@@ -210,8 +211,8 @@
     ];
     for (n, case) in cases.iter().enumerate() {
         let mut core = node(0);
-        for (ms, tenure, tally, baton, want) in *case {
-            let got = hear(&mut core, *ms, &report(*tenure, *tally, *baton, None)).0;
+        for (ms, session, sequence, token, want) in *case {
+            let got = hear(&mut core, *ms, &report(*session, *sequence, *token, None)).0;
             assert_eq!(got, *want, "{n}: {ms}");
         }
     }
@@ -238,7 +239,7 @@
     // then workers come back and must not lose their leases.
     let mut core = node(0);
     assert!(hear(&mut core, 1_000, &report(1, 1, 3, None)).0);
-    let mut answer = |ms, tally| core.on_report(Steady(ms), &report(1, tally, 3, None));
+    let mut answer = |ms, sequence| core.on_report(Steady(ms), &report(1, sequence, 3, None));
     assert!(matches!(answer(5_500, 2), ReportAnswer::Take(_)), "not for long yet");
     assert!(matches!(answer(7_000, 3), ReportAnswer::Go(_)));
     assert!(matches!(answer(9_000, 4), ReportAnswer::Take(_)), "it found nobody");
@@ -248,10 +249,10 @@
 fn only_strays_that_show_the_token_are_told_of() {
     // A late copy must not bring a machine back or move it to another owner.
     let mut core = node(1);
-    for (ms, tally, baton, told) in
+    for (ms, sequence, token, told) in
         [(0, 1, 2, 0), (1_000, 2, 2, 0), (1_400, 3, 3, 1), (1_450, 2, 2, 1)]
     {
-        hear(&mut core, ms, &report(1, tally, baton, None));
+        hear(&mut core, ms, &report(1, sequence, token, None));
         assert_eq!(core.summary(Steady(ms), 900_000).strays.len(), told, "{ms}");
     }
 }
@@ -347,14 +348,14 @@
         (Some(Ended), 3, 1_000, 1_100, false),
         (None, 3, 1_000, 1_100, true), // it was to start with the answer, which may be on its way
     ];
-    for (stage, baton, heard, cancelled, told) in cases {
+    for (stage, token, heard, cancelled, told) in cases {
         let mut core = node(0);
-        hear(&mut core, heard, &report(1, 5, baton, stage));
+        hear(&mut core, heard, &report(1, 5, token, stage));
         while !core.to_announce(Steady(heard), 8).is_empty() {}
         cancel(&mut core, cancelled);
         let out = core.to_announce(Steady(cancelled), 8);
         let kills: Vec<&Order> = out.iter().flat_map(|a| &a.orders).collect();
-        let what = format!("{stage:?} {baton} {cancelled}");
+        let what = format!("{stage:?} {token} {cancelled}");
         assert_eq!(kills.len(), usize::from(told), "{what}: {out:?}");
         let shown = |k: &&Order| matches!(k, Order::Kill { r#try: Attempt(7), .. });
         assert_eq!(kills.iter().all(shown), stage.is_some() || !told, "{what}");
--- a/src/service.rs
+++ b/src/service.rs
@@ -514,7 +514,7 @@
     async fn announce(&self, a: &Announcement) {
         let Ok(addr) = a.endpoint.parse() else { return };
         let body =
-            wire::encode(&Direct { baton: a.term, tenure: a.session, orders: a.orders.clone() });
+            wire::encode(&Direct { token: a.term, session: a.session, orders: a.orders.clone() });
         let client = Client::new(addr, wire::BODY_LIMIT * 4);
         let Ok(answer) = client.call("POST", "/do", &body, ANNOUNCE_LIMIT).await else { return };
         if !matches!(answer.status, 200 | 409) {
@@ -615,7 +615,7 @@
             return Response::empty(400);
         };
         let mut core = self.core.borrow_mut();
-        if report.baton > core.part.term() {
+        if report.token > core.part.term() {
             // Somebody leads that this node does not know of yet.
             self.confirms.borrow_mut().push(oneshot::channel().0);
             self.wake_confirm.notify_one();
@@ -851,12 +851,12 @@
             // A rental whose outcome is not known is repeated under its name, after the others.
             if let Some((rental, offer)) = open.pop_front() {
                 if !self.rent(&rental, &offer).await {
-                    unknown.insert(rental.hire.clone());
+                    unknown.insert(rental.idempotency_key.clone());
                     open.push_back((rental, offer));
                 } else if self.is_refused(&offer) {
                     // Nor would the rest of what was wanted of it be had. What went out already
                     // has to go out again until its outcome is known.
-                    open.retain(|(r, o)| *o != offer || unknown.contains(&r.hire));
+                    open.retain(|(r, o)| *o != offer || unknown.contains(&r.idempotency_key));
                 }
             }
             if open.is_empty() {
@@ -910,7 +910,7 @@
                 left -= number;
                 *counter += 1;
                 let rental = Rental {
-                    hire: format!("r-{term}-{life}-{counter}"),
+                    idempotency_key: format!("r-{term}-{life}-{counter}"),
                     hull: offer.hull.clone(),
                     yard: offer.zone.clone(),
                     loaners: offer.spot,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -292,11 +292,14 @@
     /// Whether it is a spot machine.
     pub loaners: bool,
     /// The worker's session.
-    pub tenure: Session,
-    /// Counts its messages.
-    pub tally: u64,
-    /// The highest token it has seen.
-    pub baton: Term,
+    #[serde(rename = "Tenure")]
+    pub session: Session,
+    /// The sequence number of the message within the session.
+    #[serde(rename = "Tally")]
+    pub sequence: u64,
+    /// The highest fencing token it has seen.
+    #[serde(rename = "Baton")]
+    pub token: Term,
     /// Seconds until the cloud takes it away.
     #[serde(default, deserialize_with = "amount_or_null")]
     pub warning_s: Option<f64>,
@@ -352,8 +355,9 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct ReportReply {
-    /// The token.
-    pub baton: Term,
+    /// The fencing token.
+    #[serde(rename = "Baton")]
+    pub token: Term,
     /// Commands, in order.
     pub orders: Vec<Order>,
 }
@@ -362,10 +366,12 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct Direct {
-    /// The token.
-    pub baton: Term,
+    /// The fencing token.
+    #[serde(rename = "Baton")]
+    pub token: Term,
     /// The session they are meant for.
-    pub tenure: Session,
+    #[serde(rename = "Tenure")]
+    pub session: Session,
     /// The commands.
     pub orders: Vec<Order>,
 }
@@ -426,8 +432,9 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct Rental {
-    /// The request's name, never reused.
-    pub hire: String,
+    /// The idempotency key, never reused.
+    #[serde(rename = "Hire")]
+    pub idempotency_key: String,
     /// Machine type.
     pub hull: String,
     /// Zone.
--- a/tests/sim/worker.rs
+++ b/tests/sim/worker.rs
@@ -35,12 +35,12 @@
     pub taken_at: Option<u64>,
     pub target: usize,
     session: u64,
-    tally: u64,
-    pub baton: u64,
+    sequence: u64,
+    pub token: u64,
     tasks: BTreeMap<(TaskId, Attempt), Task>,
     answered: u64,
     next: u64,
-    in_flight: Option<(u64, u64)>, // tally, sent
+    in_flight: Option<(u64, u64)>, // sequence, sent
     told_to_save: Vec<(TaskId, Attempt)>,
     rhythm: u64,
     lease: u64,
@@ -56,8 +56,8 @@
             taken_at: None,
             target: id % 3,
             session: 1,
-            tally: 0,
-            baton: 0,
+            sequence: 0,
+            token: 0,
             tasks: BTreeMap::new(),
             answered: now,
             next: now + 100 * id as u64 % rhythm.report_ms,
@@ -85,7 +85,7 @@
     /// Restarts at once: nothing is left, and it counts from 1 again.
     pub fn reborn(&mut self, now: u64) -> Vec<Change> {
         let out = self.leave(|_| true);
-        (self.session, self.tally, self.baton) = (1, 0, 0);
+        (self.session, self.sequence, self.token) = (1, 0, 0);
         (self.answered, self.in_flight, self.next) = (now, None, now + 300);
         out
     }
@@ -231,8 +231,8 @@
         if !self.active(now) || self.in_flight.is_some() || now < self.next {
             return None;
         }
-        self.tally += 1;
-        self.in_flight = Some((self.tally, now));
+        self.sequence += 1;
+        self.in_flight = Some((self.sequence, now));
         self.next = now + self.rhythm;
         Some((self.target, self.state(now)))
     }
@@ -241,19 +241,19 @@
     pub fn direct(
         &mut self,
         now: u64,
-        baton: u64,
-        tenure: u64,
+        token: u64,
+        session: u64,
         orders: &[Order],
     ) -> (Report, Vec<Change>) {
         let mut changes = Vec::new();
-        if baton >= self.baton && tenure == self.session {
-            if baton > self.baton {
+        if token >= self.token && session == self.session {
+            if token > self.token {
                 self.next = self.next.min(now + 500);
             }
-            self.baton = baton;
+            self.token = token;
             changes = orders.iter().flat_map(|o| self.order(now, o.clone())).collect();
         }
-        self.tally += 1;
+        self.sequence += 1;
         (self.state(now), changes)
     }
 
@@ -270,28 +270,28 @@
             hull: "small".into(),
             yard: self.zone.into(),
             loaners: false,
-            tenure: Session(self.session),
-            tally: self.tally,
-            baton: Term(self.baton),
+            session: Session(self.session),
+            sequence: self.sequence,
+            token: Term(self.token),
             warning_s: self.taken_at.map(|at| at.saturating_sub(now) as f64 / 1000.0),
             pieces: pieces.collect(),
         }
     }
 
-    /// The answer to the report with that tally; others are too late and go unheard.
-    pub fn answer(&mut self, now: u64, tally: u64, answer: Answer) -> Vec<Change> {
+    /// The answer to the report with that sequence; others are too late and go unheard.
+    pub fn answer(&mut self, now: u64, sequence: u64, answer: Answer) -> Vec<Change> {
         let Some((expected, sent)) = self.in_flight else { return Vec::new() };
-        if !self.active(now) || expected != tally {
+        if !self.active(now) || expected != sequence {
             return Vec::new();
         }
         self.in_flight = None;
         match answer {
             Answer::Take(reply) => {
-                if reply.baton.0 < self.baton {
+                if reply.token.0 < self.token {
                     return Vec::new();
                 }
-                if reply.baton.0 > self.baton {
-                    self.baton = reply.baton.0;
+                if reply.token.0 > self.token {
+                    self.token = reply.token.0;
                     self.next = self.next.min(now + 500);
                 }
                 self.answered = sent;
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -999,7 +999,7 @@
                 if now < self.lossy_until && self.rng.random_bool(0.3) {
                     return;
                 }
-                let reply = Message::Reply(w, report.tally, answer);
+                let reply = Message::Reply(w, report.sequence, answer);
                 self.send(Place::Node(n), Place::Worker(w), reply);
             }
             Message::Copy(n, report) => {
@@ -1047,8 +1047,8 @@
                 }
             }
             Message::Reply(w, ..) if self.deaf.iter().any(|d| d.0 == w && now < d.1) => {}
-            Message::Reply(w, tally, answer) => {
-                let changes = self.workers[w].answer(now, tally, answer);
+            Message::Reply(w, sequence, answer) => {
+                let changes = self.workers[w].answer(now, sequence, answer);
                 self.see(w, changes);
             }
             Message::Summary(from, to, summary) => {
