--- a/tests/sim/check.rs
+++ b/tests/sim/check.rs
@@ -40,6 +40,10 @@
         job: u64,
         could: bool,
     },
+    /// A user submits a job, for the first time or again.
+    Submitted {
+        job: u64,
+    },
     /// A user asks to cancel a job.
     AskedToCancel {
         job: u64,
@@ -91,6 +95,8 @@
     begun: BTreeSet<u64>,
     /// The newest that any node told of a job.
     told: BTreeMap<u64, Told>,
+    /// Jobs that users submitted; no other may be known.
+    submitted: BTreeSet<u64>,
     /// Jobs that users asked to cancel; nobody else's may be called cancelled.
     asked_to_cancel: BTreeSet<u64>,
     /// Since when a job could have gone on.
@@ -121,6 +127,7 @@
             waiting: BTreeMap::new(),
             begun: BTreeSet::new(),
             told: BTreeMap::new(),
+            submitted: BTreeSet::new(),
             asked_to_cancel: BTreeSet::new(),
             could: BTreeMap::new(),
             late_starts: 0,
@@ -193,6 +200,9 @@
                     return;
                 }
                 self.told.insert(job, told);
+                if told != Told::Unknown && !self.submitted.contains(&job) {
+                    self.broken.push(format!("{at}: {job} is invented by {node}: {told:?}"));
+                }
                 if told == Told::Withdrawn {
                     if !self.asked_to_cancel.contains(&job) {
                         self.broken.push(format!("{at}: {job} is called cancelled by {node}"));
@@ -200,6 +210,9 @@
                     self.see(at, Event::Cancelled { job });
                 }
             }
+            Event::Submitted { job } => {
+                self.submitted.insert(job);
+            }
             Event::AskedToCancel { job } => {
                 self.asked_to_cancel.insert(job);
             }
--- a/tests/sim/main.rs
+++ b/tests/sim/main.rs
@@ -578,28 +578,47 @@
         ),
     ];
     let told = |told| Event::Told { job: 1, node: 0, told };
+    let known = (0, Event::Submitted { job: 1 });
     let asked_to = |at| (at, Event::AskedToCancel { job: 1 });
     let could = |from: u64, to: u64, could| -> Vec<(u64, Event)> {
         (from..to).step_by(1_000).map(|at| (at, Event::Waits { job: 1, could })).collect()
     };
     let gone_on = |at| vec![(at, start((1, 0), 0))];
     let closely: Vec<Case> = vec![
-        ("open, then done", vec![(0, told(Told::Open)), (1, told(Told::Done))], 0),
-        ("unknown, then open", vec![(0, told(Told::Unknown)), (1, told(Told::Open))], 0),
-        ("open, then unknown", vec![(0, told(Told::Open)), (1, told(Told::Unknown))], 1),
-        ("done, then open", vec![(0, told(Told::Done)), (1, told(Told::Open))], 1),
-        ("done, then unknown", vec![(0, told(Told::Done)), (1, told(Told::Unknown))], 1),
+        ("open, then done", vec![known.clone(), (0, told(Told::Open)), (1, told(Told::Done))], 0),
+        ("known though nobody submitted it", vec![(0, told(Told::Open))], 1),
+        ("not known, and nobody submitted it", vec![(0, told(Told::Unknown))], 0),
+        (
+            "unknown, then open",
+            vec![known.clone(), (0, told(Told::Unknown)), (1, told(Told::Open))],
+            0,
+        ),
+        (
+            "open, then unknown",
+            vec![known.clone(), (0, told(Told::Open)), (1, told(Told::Unknown))],
+            1,
+        ),
+        ("done, then open", vec![known.clone(), (0, told(Told::Done)), (1, told(Told::Open))], 1),
+        (
+            "done, then unknown",
+            vec![known.clone(), (0, told(Told::Done)), (1, told(Told::Unknown))],
+            1,
+        ),
         (
             "cancelled, then open",
-            vec![asked_to(0), (0, told(Told::Withdrawn)), (1, told(Told::Open))],
+            vec![known.clone(), asked_to(0), (0, told(Told::Withdrawn)), (1, told(Told::Open))],
             1,
         ),
         (
             "cancelled, then done",
-            vec![asked_to(0), (0, told(Told::Withdrawn)), (1, told(Told::Done))],
+            vec![known.clone(), asked_to(0), (0, told(Told::Withdrawn)), (1, told(Told::Done))],
+            1,
+        ),
+        (
+            "cancelled without having been asked to",
+            vec![known.clone(), (0, told(Told::Withdrawn))],
             1,
         ),
-        ("cancelled without having been asked to", vec![(0, told(Told::Withdrawn))], 1),
         ("has no room", could(0, 200_000, false), 0),
         ("has room for a while", could(0, 90_000, true), 0),
         ("is left waiting", could(0, 91_001, true), 1),
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -1444,6 +1444,7 @@
         let Ok(node) = &self.nodes[n] else { return };
         if !node.core.ledger.jobs.contains_key(&JobId(id)) {
             // A repeat at another node, or while the first is still out, changes nothing.
+            self.checker.see(now, Event::Submitted { job: id });
             let txn = accept_txn(
                 [&self.jobs[&id]].into_iter(),
                 Wall(1_000_000 + now),
--- a/tests/sim/world/users.rs
+++ b/tests/sim/world/users.rs
@@ -13,6 +13,9 @@
 use super::{Message, World};
 use crate::check::{Event, Told};
 
+/// A job that nobody submits.
+const NOBODYS: u64 = 999_999;
+
 fn told(stage: JobStage) -> Told {
     match stage {
         JobStage::Done => Told::Done,
@@ -22,15 +25,24 @@
 }
 
 impl World {
-    /// What node `n` answers to a question; `None` if it refuses.
-    fn answer(&mut self, n: usize, id: u64) -> Option<Told> {
-        let job = JobId(id);
-        let node = self.nodes[n].as_ref().ok()?;
+    /// What node `n` answers at once: what nothing can change any more, or a refusal if it does not reach
+    /// the store. `None` if it has to look further.
+    fn at_once(&mut self, n: usize, job: JobId) -> Option<Option<Told>> {
+        let Ok(node) = &self.nodes[n] else { return Some(None) };
         if let Some(answer) = node.core.final_answer(job) {
-            return Some(told(answer.stage));
+            return Some(Some(told(answer.stage)));
         }
         if !node.core.loaded || !self.reaches_store(n) {
-            return None;
+            return Some(None);
+        }
+        None
+    }
+
+    /// What node `n` answers to a question; `None` if it refuses.
+    fn answer(&mut self, n: usize, id: u64) -> Option<Told> {
+        let job = JobId(id);
+        if let Some(answer) = self.at_once(n, job) {
+            return answer;
         }
         self.pull(n);
         let core = &self.nodes[n].as_ref().ok()?.core;
@@ -45,12 +57,9 @@
     /// What a node answers to a submission, new or repeated.
     fn submit(&mut self, n: usize, id: u64) -> Option<Told> {
         let job = JobId(id);
-        let node = self.nodes[n].as_ref().ok()?;
-        if let Some(answer) = node.core.final_answer(job) {
-            return Some(told(answer.stage));
-        }
-        if !node.core.loaded || !self.reaches_store(n) {
-            return None;
+        self.checker.see(self.now, Event::Submitted { job: id });
+        if let Some(answer) = self.at_once(n, job) {
+            return answer;
         }
         let node = self.nodes[n].as_ref().ok()?;
         if !node.core.ledger.jobs.contains_key(&job) {
@@ -76,12 +85,8 @@
     fn abort(&mut self, n: usize, id: u64) -> Option<Told> {
         let job = JobId(id);
         for _ in 0..4 {
-            let node = self.nodes[n].as_ref().ok()?;
-            if let Some(answer) = node.core.final_answer(job) {
-                return Some(told(answer.stage));
-            }
-            if !node.core.loaded || !self.reaches_store(n) {
-                return None;
+            if let Some(answer) = self.at_once(n, job) {
+                return answer;
             }
             let Some((txn, progress)) = self.nodes[n].as_ref().ok()?.core.cancel_txn(job) else {
                 match self.answer(n, id)? {
@@ -135,7 +140,8 @@
             self.told.insert(id);
         }
         self.checker.see(self.now, Event::Told { job: id, node: n, told: answer });
-        if self.now < self.looks_until && !self.looked_at.contains(&id) && answer != Told::Open {
+        let ended = !matches!(answer, Told::Open | Told::Unknown);
+        if self.now < self.looks_until && !self.looked_at.contains(&id) && ended {
             self.looked_at.push(id);
         }
     }
@@ -206,6 +212,10 @@
         }
         self.just_completed.clear();
         if now < self.looks_until {
+            if now.is_multiple_of(5_000) {
+                // Nobody ever submits this one.
+                (0..3).for_each(|n| self.request(n, NOBODYS, World::answer));
+            }
             for id in std::mem::take(&mut self.looked_at) {
                 self.look(id);
             }
