--- a/tests/sim/main.rs
+++ b/tests/sim/main.rs
@@ -309,6 +309,11 @@
             let name = format!("meeting {faults:?}");
             let world = World::busy(seed, rhythm);
             play_for(rhythm.lease_ms * 30, world, &name, seed, rhythm, &faults);
+            if seed < 8 {
+                let world = World::busy_with_gangs(seed, rhythm);
+                let name = format!("gangs, {name}");
+                play_for(rhythm.lease_ms * 30, world, &name, seed, rhythm, &faults);
+            }
         }
     }
 }
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -580,6 +580,20 @@
         world
     }
 
+    /// The same with some gangs among the jobs.
+    pub fn busy_with_gangs(seed: u64, rhythm: Rhythm) -> Self {
+        let mut world = World::busy(seed, rhythm);
+        for (id, job) in world.jobs.iter_mut().filter(|(id, _)| *id % 4 == 2) {
+            job.shape = Shape::Gang;
+            job.pieces = 2 + *id as u32 % 3;
+            job.one_zone = id % 8 == 2;
+            job.scatter = false;
+            job.bookmark_s = 2.0;
+            job.stash_s = 1.0;
+        }
+        world
+    }
+
     /// Jobs that run for longer than any cancellation may take, and one of many short tasks, so that
     /// there is always something to start.
     pub fn long(seed: u64, rhythm: Rhythm) -> Self {
