Places about to be left are granted ahead where no more urgent work may go

Now an owner has some tasks to start in the very answer to the report that shows the place empty (PlanBody::ahead, member records say who reads it). The reporting machine counts as reachable at once when its owner places tasks.

--- a/src/lead.rs
+++ b/src/lead.rs
@@ -63,6 +63,9 @@
 mod granted;
 mod limits;
 mod record;
+mod turnover;
+
+use turnover::Turnover;
 
 /// What the leader needs to see besides its own state.
 pub struct Context<'a> {
@@ -96,6 +99,8 @@
     zone: Option<String>,
     /// Whether a worker has shown it; followed for gangs only.
     seen: bool,
+    /// Whether it waits for a place that another task is about to leave.
+    ahead: bool,
 }
 
 struct Revoked {
@@ -104,16 +109,88 @@
     zone: Option<String>,
 }
 
+/// What a controller is granted.
+#[derive(Default)]
+struct NodeGrants {
+    with_room: Vec<Grant>,
+    ahead: Vec<Grant>,
+}
+
 /// What an epoch fills: teams' use of cores and accelerators, room on machines, and grants.
 #[derive(Clone)]
 struct Filling {
     used: Vec<(Cores, Cores)>,
     rooms: Vec<Room>,
+    /// Places that tasks are about to leave, and their cores, granted ones included.
+    turnover: Vec<Turnover>,
+    extra: Cores,
     grants: Vec<(TaskId, Granted)>,
     /// How many tasks of each job are held, and how many may be running somewhere.
     counts: FxHashMap<JobId, (u32, u32)>,
 }
 
+/// Where a task is granted.
+struct Place {
+    node: NodeId,
+    /// Whether another task is about to leave it.
+    ahead: bool,
+    /// Set for jobs that are bound to zones.
+    zone: Option<String>,
+}
+
+impl Filling {
+    /// Takes places for up to `count` tasks of a job: on machines with room, and, if `ahead`,
+    /// where others are about to end.
+    fn choose_places(
+        &mut self,
+        ctx: &Context<'_>,
+        fleet: &Fleet,
+        job: &Job,
+        mut zones: ZoneRule,
+        count: usize,
+        ahead: bool,
+    ) -> Vec<Place> {
+        let need = Need::of(&job.spec);
+        let mut places = Vec::new();
+        if !zones.binds() {
+            for i in place::spread(&job.spec, &need, &mut self.rooms, None, count) {
+                places.extend(self.place_on(fleet, i, false));
+            }
+            let left = if ahead { count - places.len() } else { 0 };
+            let turnover = &mut self.turnover;
+            for i in turnover::take_places(turnover, &job.spec, &need, None, left) {
+                places.push(Place { node: turnover[i].owner, ahead: true, zone: None });
+            }
+            return places;
+        }
+        while places.len() < count {
+            let open = zones.open(&ctx.settings.params.zones);
+            let Some(i) = open
+                .iter()
+                .find_map(|zone| place::choose(&job.spec, &need, &self.rooms, Some(zone.as_str())))
+            else {
+                break;
+            };
+            self.rooms[i].add(&job.spec, &need);
+            zones.count(&self.rooms[i].zone);
+            places.extend(self.place_on(fleet, i, true));
+        }
+        places
+    }
+
+    /// Whether there is a place for a task at all.
+    fn may_hold(&self, spec: &wire::JobSpec, need: &Need, ahead: bool) -> bool {
+        self.rooms.iter().any(|r| r.takes(spec, need, None))
+            || ahead && self.turnover.iter().any(|t| t.takes(spec, need))
+    }
+
+    fn place_on(&self, fleet: &Fleet, room: usize, bound: bool) -> Option<Place> {
+        let room = &self.rooms[room];
+        let (node, _) = fleet.owners.get(&room.id).copied()?;
+        Some(Place { node, ahead: false, zone: bound.then(|| room.zone.to_string()) })
+    }
+}
+
 /// One epoch's outcome, to be written before it is published.
 #[derive(Default)]
 pub struct Epoch {
@@ -298,11 +375,16 @@
         self.learn(ctx, &on);
         self.settle(ctx, &on, fleet.unsettled.is_empty());
         self.supervise_gangs(ctx, &fleet, &on);
-        let mut rooms = self.rooms(ctx, &fleet, &on);
+        let mut rooms = self.rooms(ctx, &fleet);
+        let mut turnover = self.turnover(ctx, &fleet, &on, &rooms);
+        let extra = turnover.iter().fold(Cores(0), |sum, t| Cores(sum.0 + t.free_cores().0));
+        self.place_under_way(ctx, &fleet, &on, &mut rooms, &mut turnover);
         self.keep_for_gangs(ctx, &fleet, &on, &mut rooms);
         let filling = Filling {
             used: self.team_use(ctx, &fleet, &on),
             rooms,
+            turnover,
+            extra,
             grants: Vec::new(),
             counts: self.counts(&on),
         };
@@ -428,21 +510,38 @@
         }
     }
 
-    /// Machines as placement sees them, with grants under way counted in where their parts
-    /// would place them.
-    fn rooms(&self, ctx: &Context<'_>, fleet: &Fleet, on: &OnMachines<'_>) -> Vec<Room> {
+    /// Machines as placement sees them.
+    fn rooms(&self, ctx: &Context<'_>, fleet: &Fleet) -> Vec<Room> {
         let mut rooms = fleet.rooms(ctx);
         for room in &mut rooms {
             room.slow = self.speeds.get(&room.id).is_some_and(Speed::is_slow);
         }
+        rooms
+    }
+
+    /// Counts grants under way in where their parts would place them, first on machines with room.
+    fn place_under_way(
+        &self,
+        ctx: &Context<'_>,
+        fleet: &Fleet,
+        on: &OnMachines<'_>,
+        rooms: &mut [Room],
+        turnover: &mut [Turnover],
+    ) {
         let owner = |r: &Room| fleet.owners.get(&r.id).map(|o| o.0);
-        type Alike<'a> = (NodeId, JobId, Option<&'a str>, Option<Attempt>);
+        type Alike<'a> = (NodeId, JobId, Option<&'a str>, Option<Attempt>, bool);
         let mut under_way: BTreeMap<Alike<'_>, usize> = BTreeMap::new();
         for (t, g) in self.granted.iter().filter(|(t, _)| !on.contains_key(t)) {
-            *under_way.entry((g.node, t.job, g.zone.as_deref(), g.attempt)).or_default() += 1;
+            let alike = (g.node, t.job, g.zone.as_deref(), g.attempt, g.ahead);
+            *under_way.entry(alike).or_default() += 1;
         }
-        for ((node, job, zone, attempt), count) in under_way {
+        for ((node, job, zone, attempt, ahead), count) in under_way {
             let Some(job) = ctx.ledger.jobs.get(&job) else { continue };
+            if ahead {
+                let need = Need::of(&job.spec);
+                turnover::take_places(turnover, &job.spec, &need, Some(node), count);
+                continue;
+            }
             // Rooms come part by part.
             let first = rooms.iter().position(|r| owner(r) == Some(node)).unwrap_or(rooms.len());
             let len = rooms[first..].iter().take_while(|r| owner(r) == Some(node)).count();
@@ -454,7 +553,6 @@
                 place::spread(&job.spec, &need, part, zone, count);
             }
         }
-        rooms
     }
 
     /// Whether a task may be granted: it is proven to be nowhere.
@@ -501,8 +599,9 @@
             })
             .collect();
         let demands = self.demands(ctx, &counts, &failing, &at_limit);
+        // What waits for a place counts as held, so urgent work finds as much again beside it.
         let bounds = Bounds {
-            held: filling.rooms.iter().fold(Cores(0), |sum, r| {
+            held: filling.rooms.iter().fold(Cores(filling.extra.0 * 2), |sum, r| {
                 let total = ctx.flavors.get(&*r.hull).map_or(Cores(0), |f| Cores::offer(f.vcpus));
                 Cores(sum.0 + if r.open { total.0 } else { 0 })
             }),
@@ -541,7 +640,9 @@
             if job.spec.shape == Shape::Gang {
                 self.grant_gang(ctx, fleet, on, job, d.team, more, held, &mut filling);
             } else {
-                self.grant_job(ctx, fleet, on, job, d.team, more, &mut filling);
+                // What has waited long needs a machine, as small places may never hold it.
+                let ahead = d.weight < STARVED_WEIGHT;
+                self.grant_job(ctx, fleet, on, job, d.team, more, ahead, &mut filling);
             }
         }
         filling
@@ -619,7 +720,7 @@
     }
 
     /// Grants up to `more` tasks of a job, as far as its team's limit, its zones and the
-    /// machines allow.
+    /// machines allow; `ahead` if they may also wait for places that others are about to leave.
     #[allow(clippy::too_many_arguments)]
     fn grant_job(
         &mut self,
@@ -629,54 +730,41 @@
         job: &Job,
         team: usize,
         more: usize,
+        ahead: bool,
         filling: &mut Filling,
     ) {
         let id = job.spec.r#ref;
         let need = Need::of(&job.spec);
-        if more == 0 || !filling.rooms.iter().any(|r| r.takes(&job.spec, &need, None)) {
+        if more == 0 || !filling.may_hold(&job.spec, &need, ahead) {
             return;
         }
         let fits = self.within_limit(ctx, team, &need, filling);
         if fits < more {
             self.waits.insert(id, Waits::TeamLimit);
         }
-        let free: Vec<TaskId> = (0..job.spec.pieces)
-            .map(|index| TaskId { job: id, index })
-            .filter(|t| self.is_free(ctx, on, *t))
-            .take(more.min(fits))
-            .collect();
         let mut zones = ZoneRule::of(&job.spec);
-        let mut chosen: Vec<usize> = Vec::new();
         if zones.binds() {
             if self.limbo.iter().any(|t| t.job == id) {
                 return; // Where the others are is not known.
             }
             self.count_zones(id, on, &mut zones);
-            while chosen.len() < free.len() {
-                let open = zones.open(&ctx.settings.params.zones);
-                let Some(i) = open.iter().find_map(|zone| {
-                    place::choose(&job.spec, &need, &filling.rooms, Some(zone.as_str()))
-                }) else {
-                    break;
-                };
-                filling.rooms[i].add(&job.spec, &need);
-                zones.count(&filling.rooms[i].zone);
-                chosen.push(i);
-            }
-        } else {
-            chosen = place::spread(&job.spec, &need, &mut filling.rooms, None, free.len());
         }
-        for (task, i) in free.into_iter().zip(chosen) {
-            let room = &filling.rooms[i];
-            let Some((node, _)) = fleet.owners.get(&room.id).copied() else { continue };
-            let zone = zones.binds().then(|| room.zone.to_string());
+        let free: Vec<TaskId> = (0..job.spec.pieces)
+            .map(|index| TaskId { job: id, index })
+            .filter(|t| self.is_free(ctx, on, *t))
+            .take(more.min(fits))
+            .collect();
+        let chosen = filling.choose_places(ctx, fleet, job, zones, free.len(), ahead);
+        for (task, place) in free.into_iter().zip(chosen) {
             if let Some(u) = filling.used.get_mut(team) {
                 u.0.0 += need.cores.0;
                 u.1.0 += need.accelerators.0;
             }
-            filling
-                .grants
-                .push((task, Granted { node, attempt: None, at: ctx.now, zone, seen: false }));
+            let Place { node, zone, ahead } = place;
+            filling.grants.push((
+                task,
+                Granted { node, attempt: None, at: ctx.now, zone, seen: false, ahead },
+            ));
         }
     }
 
@@ -897,23 +985,13 @@
         let mut slow: Vec<MachineId> =
             self.speeds.iter().filter(|(_, s)| s.is_slow()).map(|(id, _)| id.clone()).collect();
         slow.sort();
-        type Alike<'a> = (JobId, Option<&'a str>, Option<Attempt>);
-        let mut grants: BTreeMap<NodeId, BTreeMap<Alike<'_>, Ranges>> = BTreeMap::new();
-        for (t, g) in &self.granted {
-            let jobs = grants.entry(g.node).or_default();
-            jobs.entry((t.job, g.zone.as_deref(), g.attempt)).or_default().insert(t.index);
-        }
+        let mut grants = self.grants_by_node();
         let mut bodies: BTreeMap<NodeId, PlanBody> = BTreeMap::new();
         for id in self.fleet.nodes.keys() {
-            let mine = grants.remove(id).unwrap_or_default().into_iter();
-            let grants = mine.map(|((job, zone, attempt), tasks)| Grant {
-                job: job.0,
-                tasks,
-                zone: zone.map(str::to_string),
-                attempt,
-            });
+            let NodeGrants { with_room, ahead } = grants.remove(id).unwrap_or_default();
             let body = PlanBody {
-                grants: grants.collect(),
+                grants: with_room,
+                ahead,
                 drain: drain.clone(),
                 slow: slow.clone(),
                 lapsed: lapsed.clone(),
@@ -926,6 +1004,7 @@
         let same = |id: &NodeId, b: &PlanBody| {
             self.bodies.get(id).is_some_and(|o| {
                 o.grants == b.grants
+                    && o.ahead == b.ahead
                     && o.drain == b.drain
                     && o.slow == b.slow
                     && o.lapsed == b.lapsed
@@ -954,6 +1033,33 @@
         self.seq = PlanSeq(self.seq.0 + 1);
     }
 
+    /// What each controller is granted: where there is room, and ahead of it, first what was granted first.
+    fn grants_by_node(&self) -> BTreeMap<NodeId, NodeGrants> {
+        type Alike<'a> = (NodeId, JobId, Option<&'a str>, Option<Attempt>, bool);
+        let mut alike: BTreeMap<Alike<'_>, (Steady, Ranges)> = BTreeMap::new();
+        for (t, g) in &self.granted {
+            let key = (g.node, t.job, g.zone.as_deref(), g.attempt, g.ahead);
+            let (oldest, tasks) = alike.entry(key).or_insert((g.at, Ranges::default()));
+            *oldest = g.at.min(*oldest);
+            tasks.insert(t.index);
+        }
+        let mut ahead_by_age: Vec<(Steady, NodeId, Grant)> = Vec::new();
+        let mut by_node: BTreeMap<NodeId, NodeGrants> = BTreeMap::new();
+        for ((node, job, zone, attempt, ahead), (oldest, tasks)) in alike {
+            let grant = Grant { job: job.0, tasks, zone: zone.map(str::to_string), attempt };
+            if ahead {
+                ahead_by_age.push((oldest, node, grant));
+            } else {
+                by_node.entry(node).or_default().with_room.push(grant);
+            }
+        }
+        ahead_by_age.sort_by_key(|(oldest, _, _)| *oldest);
+        for (_, node, grant) in ahead_by_age {
+            by_node.entry(node).or_default().ahead.push(grant);
+        }
+        by_node
+    }
+
     fn standings(&self, ctx: &Context<'_>) -> Vec<Standing> {
         let on = self.fleet.on_machines();
         let mut running: FxHashMap<JobId, u32> = FxHashMap::default();
--- a/src/lead/gang.rs
+++ b/src/lead/gang.rs
@@ -260,7 +260,10 @@
                 u.1.0 += need.accelerators.0;
             }
             let attempt = Some(attempt);
-            filling.grants.push((task, Granted { node, attempt, at: ctx.now, zone, seen: false }));
+            filling.grants.push((
+                task,
+                Granted { node, attempt, at: ctx.now, zone, seen: false, ahead: false },
+            ));
         }
     }
 
--- a/src/lead/tests.rs
+++ b/src/lead/tests.rs
@@ -803,3 +803,61 @@
         assert_eq!(began, begins, "{machines} {age_s}");
     }
 }
+
+#[test]
+fn places_about_to_be_left_are_granted_where_no_more_urgent_work_may_go() {
+    // Seen on a bench day with all machines rented: a place that a task of 15 s had left stayed empty until its
+    // machine had reported twice more. With grants ahead on all machines, small tasks filled every core and
+    // services waited for two free cores beside each other.
+    type Edit = fn(&mut wire::JobSpec);
+    // (what, the urgent job, what the controller understands, tasks granted ahead)
+    let cases: [(&str, Option<Edit>, u32, usize); 5] = [
+        ("three of four tasks of 2 s end within 1.5 s", None, ledger::SPEAKS_AHEAD, 3),
+        ("urgent work may go there", Some(|_| {}), ledger::SPEAKS_AHEAD, 0),
+        (
+            "urgent work may not",
+            Some(|s| s.hulls = Some(vec!["large".into()])),
+            ledger::SPEAKS_AHEAD,
+            3,
+        ),
+        ("as urgent", Some(|s| s.urgency = Urgency::Normal), ledger::SPEAKS_AHEAD, 3),
+        ("the controller does not read such grants", None, ledger::SPEAKS_ENDED, 0),
+    ];
+    let running = |id: &str, tasks: [u32; 2]| {
+        let tasks = tasks.map(|index| TaskView {
+            task: TaskId { job: JobId(8), index },
+            stage: PieceStage::Running,
+        });
+        MachineView { tasks: tasks.to_vec(), ..view(id, true, &[]) }
+    };
+    for (what, urgent, speaks, expected) in cases {
+        let mut core = leader();
+        let mut put = |path: String, v| {
+            core.ledger.load(&Item { path, v, stamp: Revision(10) }, &mut Brought::default());
+        };
+        let member = ledger::MemberRecord { life: LIFE, version: String::new(), speaks };
+        put(ledger::member_key(NodeId(0)), wire::to_value(&member));
+        let brief = wire::JobSpec { guess_s: 2.0, ..spec(8, 20) };
+        put(ledger::job_key(JobId(8)), wire::to_value(&Accepted { spec: brief, at: Wall(1) }));
+        if let Some(edit) = urgent {
+            let mut other =
+                wire::JobSpec { urgency: Urgency::High, owner: "blue".into(), ..spec(9, 1) };
+            edit(&mut other);
+            put(ledger::job_key(JobId(9)), wire::to_value(&Accepted { spec: other, at: Wall(1) }));
+        }
+        tell(&mut core, 1_100, 0, vec![]);
+        for step in 0..4 {
+            let followed = core.lead.as_ref().unwrap().seq.0;
+            let full = vec![running("n-1", [0, 1]), running("n-2", [2, 3])];
+            tell(&mut core, 1_300 + step * 100, followed, full);
+        }
+        let lead = core.lead.as_ref().unwrap();
+        let normal = |t: &TaskId| t.job != JobId(9) || urgent.is_none();
+        let ahead = lead.granted.iter().filter(|(t, g)| g.ahead && normal(t)).count();
+        let as_urgent = lead.granted.iter().filter(|(t, g)| g.ahead && !normal(t)).count();
+        let counted = if what == "as urgent" { ahead + as_urgent } else { ahead };
+        assert_eq!(counted, expected, "{what}: in all epochs together");
+        let told: u32 = lead.bodies[&NodeId(0)].ahead.iter().map(|g| g.tasks.len()).sum();
+        assert_eq!(told as usize, ahead + as_urgent, "{what}");
+    }
+}
--- /dev/null
+++ b/src/lead/turnover.rs
@@ -0,0 +1,153 @@
+//! Places that running tasks are about to leave. Tasks are granted to them ahead of time, so that a
+//! controller fills such a place in the very response to the report that shows it empty. Without
+//! that, a place stays empty until the leader has heard of it and its machine has
+//! reported once more, which is much of the run time of short tasks.
+//!
+//! Such a grant names no machine; it is kept, counted for limits and taken back as any other. Where more
+//! urgent work may go, nothing is granted ahead: small tasks would fill every core as it gets free, and
+//! none of the larger places that the more urgent work needs would ever come about.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use rustc_hash::FxHashMap;
+
+use super::{Context, Lead};
+use crate::fleet::{Fleet, OnMachines};
+use crate::model::{Cores, MachineId, NodeId};
+use crate::place::{self, Need, Room};
+use crate::wire::{JobSpec, PieceStage, Shape, Urgency};
+
+/// Seconds of expected completions that are granted ahead: some epochs, so that there is always
+/// something to start, and little enough to be used before it is taken back.
+const AHEAD_S: f64 = 1.5;
+
+/// How many urgencies there are.
+const URGENCIES: usize = Urgency::BestEffort as usize + 1;
+
+/// Places of one size on alike machines of one controller.
+#[derive(Clone, Debug)]
+pub(super) struct Turnover {
+    /// The controller that owns the machines.
+    pub(super) owner: NodeId,
+    zone: Rc<str>,
+    hull: Rc<str>,
+    spot: bool,
+    /// The largest task that one of these places holds.
+    each: Need,
+    /// What they hold all together and is not granted yet to work of an urgency or of a better one,
+    /// by urgency. A controller starts urgent work first, so less urgent grants take nothing from it.
+    free: [Need; URGENCIES],
+}
+
+impl Turnover {
+    /// Whether a task can be granted here.
+    pub(super) fn takes(&self, spec: &JobSpec, need: &Need) -> bool {
+        need.fits(&self.each)
+            && need.fits(&self.free[spec.urgency as usize])
+            && place::allowed(spec, &self.hull, &self.zone, self.spot)
+    }
+
+    /// Cores that are not granted yet to any work.
+    pub(super) fn free_cores(&self) -> Cores {
+        self.free.iter().map(|free| free.cores).max().unwrap_or_default()
+    }
+
+    /// Grants a place to a task of that urgency.
+    fn take(&mut self, need: &Need, urgency: Urgency) {
+        for free in &mut self.free[urgency as usize..] {
+            need.take_from(free);
+        }
+    }
+}
+
+/// Machines that count as one, and the size of tasks as a power of two of their cores.
+type Alike<'a> = (NodeId, &'a str, &'a str, bool, u32);
+
+/// What is expected to end on alike machines.
+#[derive(Default)]
+struct Ending {
+    each: Need,
+    /// Cores, accelerators and memory in thousandths.
+    sum: [f64; 3],
+}
+
+impl Ending {
+    fn add(&mut self, need: &Need, tasks: f64) {
+        self.each.cores = self.each.cores.max(need.cores);
+        self.each.accelerators = self.each.accelerators.max(need.accelerators);
+        self.each.memory = self.each.memory.max(need.memory);
+        let amounts = [need.cores, need.accelerators, need.memory];
+        for (sum, amount) in self.sum.iter_mut().zip(amounts) {
+            *sum += amount.0 as f64 * tasks;
+        }
+    }
+
+    fn free(&self) -> Need {
+        let [cores, accelerators, memory] = self.sum.map(|s| Cores(s as u64));
+        Need { cores, accelerators, memory }
+    }
+}
+
+impl Lead {
+    /// The places that tasks are expected to leave soon, on machines that take new ones.
+    pub(super) fn turnover(
+        &self,
+        ctx: &Context<'_>,
+        fleet: &Fleet,
+        on: &OnMachines<'_>,
+        rooms: &[Room],
+    ) -> Vec<Turnover> {
+        let kept = |r: &Room| self.kept.binary_search(&r.id).is_ok();
+        let open: FxHashMap<&MachineId, &Room> =
+            rooms.iter().filter(|r| r.open && !kept(r)).map(|r| (&r.id, r)).collect();
+        let mut ending: BTreeMap<Alike<'_>, Ending> = BTreeMap::new();
+        for (task, seen) in on.iter().filter(|(_, s)| s.stage == PieceStage::Running) {
+            let Some(room) = open.get(&seen.machine.id) else { continue };
+            let owner = fleet.owners.get(&room.id).map(|(owner, _)| *owner);
+            let Some(owner) = owner.filter(|o| ctx.ledger.starts_ahead(*o)) else { continue };
+            let job = ctx.ledger.jobs.get(&task.job);
+            let Some(job) = job.filter(|j| j.spec.shape == Shape::Sweep) else { continue };
+            let need = Need::of(&job.spec);
+            let size = need.cores.0.checked_ilog2().unwrap_or(0);
+            let alike = (owner, &*room.hull, &*room.zone, room.spot, size);
+            ending.entry(alike).or_default().add(&need, AHEAD_S / self.run_s(job));
+        }
+        let specs = || ctx.ledger.jobs.values().map(|j| &j.spec);
+        let mut first: BTreeMap<(&str, &str, bool), Option<Urgency>> = BTreeMap::new();
+        let mut places = Vec::with_capacity(ending.len());
+        for ((owner, hull, zone, spot, _), e) in ending {
+            let most_urgent = *first
+                .entry((hull, zone, spot))
+                .or_insert_with(|| place::most_urgent(specs(), hull, zone, spot));
+            let mut free = [Need::default(); URGENCIES];
+            let until = most_urgent.map_or(URGENCIES, |u| u as usize + 1);
+            free[..until].fill(e.free());
+            let (zone, hull) = (zone.into(), hull.into());
+            places.push(Turnover { owner, zone, hull, spot, each: e.each, free });
+        }
+        places
+    }
+}
+
+/// Takes places for up to `count` tasks of a job, where most are left first, and says which.
+/// `owner` is set if they have to be of that controller.
+pub(super) fn take_places(
+    turnover: &mut [Turnover],
+    spec: &JobSpec,
+    need: &Need,
+    owner: Option<NodeId>,
+    count: usize,
+) -> Vec<usize> {
+    let mut taken = Vec::new();
+    while taken.len() < count {
+        let best = (0..turnover.len())
+            .filter(|&i| owner.is_none_or(|o| o == turnover[i].owner))
+            .filter(|&i| turnover[i].takes(spec, need))
+            .max_by_key(|&i| turnover[i].free[spec.urgency as usize].cores);
+        let Some(i) = best else { break };
+        turnover[i].take(need, spec.urgency);
+        taken.push(i);
+    }
+    taken
+}
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -77,8 +77,10 @@
 pub const SPEAKS_GANGS: u32 = 1;
 /// What a controller understands that is told of cancellations directly, [`crate::peer::Ask::Ended`].
 pub const SPEAKS_ENDED: u32 = 2;
+/// What one understands that starts tasks granted ahead, [`crate::peer::PlanBody::ahead`].
+pub const SPEAKS_AHEAD: u32 = 3;
 /// What this version understands.
-pub const SPEAKS: u32 = SPEAKS_ENDED;
+pub const SPEAKS: u32 = SPEAKS_AHEAD;
 
 /// A machine that tasks may be on.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -633,6 +635,11 @@
         self.members.get(&node).is_some_and(|(m, _)| m.speaks >= SPEAKS_GANGS)
     }
 
+    /// Whether a controller starts what is granted ahead.
+    pub fn starts_ahead(&self, node: NodeId) -> bool {
+        self.members.get(&node).is_some_and(|(m, _)| m.speaks >= SPEAKS_AHEAD)
+    }
+
     /// Whether a controller can be told of cancellations directly. One that the store refuses is
     /// no member for a while, and needs it most.
     pub fn hears_ends(&self, node: NodeId) -> bool {
--- a/src/part.rs
+++ b/src/part.rs
@@ -12,12 +12,15 @@
 use crate::config::{NodeInfo, Pace};
 use crate::ledger::Ledger;
 use crate::model::{
-    Attempt, Incarnation, JobId, MachineId, NodeId, PlanSeq, Ranges, Session, Steady, TaskId, Term,
+    Attempt, Cores, Incarnation, JobId, MachineId, NodeId, PlanSeq, Ranges, Session, Steady,
+    TaskId, Term,
 };
 use crate::peer::{Grant, MachineView, Plan, PlanBody, Stray, Summary, TaskView};
 use crate::place::{self, Flavors, Need, Room};
 use crate::term::Attempts;
-use crate::wire::{Cause, JobStage, Order, Piece, PieceStage, Report, ReportReply, Shape, Urgency};
+use crate::wire::{
+    Cause, JobSpec, JobStage, Order, Piece, PieceStage, Report, ReportReply, Shape, Urgency,
+};
 
 mod machine;
 
@@ -87,6 +90,9 @@
     hears: bool,
 }
 
+/// A type of machines, a zone, and whether they are spot machines.
+type MachineKind = (Rc<str>, Rc<str>, bool);
+
 /// When a machine was last sent to its owner.
 #[derive(Clone, Debug)]
 struct Redirected {
@@ -218,6 +224,11 @@
     assigned: Steady,
     /// Whether granted tasks found no machine.
     unplaced: bool,
+    /// Tasks that are granted ahead and found no machine: any may take them as soon as it has room, the
+    /// first ones first.
+    backlog: Vec<TaskId>,
+    /// The most urgent work that may use machines of a type, zone and kind.
+    most_urgent: BTreeMap<MachineKind, Option<Urgency>>,
     queued: usize,
     /// When any worker last reported here.
     heard: Steady,
@@ -261,6 +272,8 @@
             assign: false,
             assigned: Steady(0),
             unplaced: false,
+            backlog: Vec::new(),
+            most_urgent: BTreeMap::new(),
             queued: 0,
             heard: Steady(0),
             news: false,
@@ -300,6 +313,7 @@
         self.unheeded.clear();
         self.told = None;
         self.unplaced = false;
+        self.backlog.clear();
         self.queued = 0;
         self.news = true;
     }
@@ -834,15 +848,16 @@
             return;
         }
         let since = env.now.since(self.assigned);
-        let waiting = self.unplaced || self.queued > 0;
+        let waiting = self.unplaced || self.queued > 0 || !self.backlog.is_empty();
         let due =
             (freed && self.unplaced && since >= ASSIGN_LEAST_MS) || (waiting && since >= ASSIGN_MS);
         if self.assign || due {
-            self.assign_granted(env);
+            self.assign_granted(env, id);
         }
-        let Some(machine) = self.machines.get_mut(id).filter(|m| !m.queue.is_empty()) else {
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        if machine.queue.is_empty() && self.backlog.is_empty() {
             return;
-        };
+        }
         let queue = std::mem::take(&mut machine.queue);
         self.queued = self.queued.saturating_sub(queue.len());
         let Some(mut room) = machine.room(id, env, !self.drained.contains(id)) else {
@@ -850,27 +865,75 @@
         };
         room.kept = self.body.kept.binary_search(id).is_ok();
         for q in queue {
-            let Some(job) = env.ledger.jobs.get(&q.task.job) else {
-                continue;
+            if !self.start(env, &mut room, &q, orders) {
+                self.unplaced = true;
+            }
+        }
+        self.start_backlog(env, &mut room, orders);
+    }
+
+    /// Starts what is granted ahead on a machine that has room and the images for it. What would have
+    /// to fetch its image first is left to the next look at all machines.
+    fn start_backlog(&mut self, env: &Surroundings<'_>, room: &mut Room, orders: &mut Vec<Order>) {
+        if !room.open || room.free.cores == Cores(0) || self.backlog.is_empty() {
+            return;
+        }
+        let mut backlog = std::mem::take(&mut self.backlog);
+        backlog.retain(|task| {
+            let job = env.ledger.jobs.get(&task.job);
+            let Some(job) = job.filter(|j| self.may_try(env.now, j.spec.r#ref)) else {
+                return false;
             };
-            let need = Need::of(&job.spec);
-            if !self.may_start(env.ledger, q.task)
-                || !room.takes(&job.spec, &need, None)
-                || self.machines.values().any(|m| m.tasks.contains_key(&q.task))
+            if room.free.cores == Cores(0)
+                || !room.is_warm(&job.spec)
+                || !self.is_first(&job.spec, room)
             {
-                self.unplaced = true;
-                continue;
+                return true;
             }
-            room.add(&job.spec, &need);
-            let attempt = q.attempt.unwrap_or_else(|| self.attempts.give());
-            let Some(machine) = self.machines.get_mut(id) else { return };
-            machine.remember_image(&job.spec);
-            machine.tasks.insert(q.task, Held { attempt, stage: PieceStage::Unknown });
-            machine.changed = self.number + 1;
-            self.news = true;
-            tracing::debug!(task = %q.task, machine = %id, %attempt, "starts");
-            orders.push(Order::Start { piece: q.task, r#try: attempt });
+            !self.start(env, room, &Queued { task: *task, attempt: None }, orders)
+        });
+        self.backlog = backlog;
+    }
+
+    /// Whether no job that is more urgent may use such machines.
+    fn is_first(&self, spec: &JobSpec, room: &Room) -> bool {
+        let kind = (room.hull.clone(), room.zone.clone(), room.spot);
+        let most_urgent = self.most_urgent.get(&kind).copied().flatten();
+        most_urgent.is_some_and(|urgency| spec.urgency <= urgency)
+    }
+
+    /// Orders a granted task to start on a machine, unless it has no room for it or the task is anywhere.
+    fn start(
+        &mut self,
+        env: &Surroundings<'_>,
+        room: &mut Room,
+        queued: &Queued,
+        orders: &mut Vec<Order>,
+    ) -> bool {
+        let task = queued.task;
+        let Some(job) = env.ledger.jobs.get(&task.job) else { return true };
+        let need = Need::of(&job.spec);
+        if !self.may_start(env.ledger, task)
+            || !room.takes(&job.spec, &need, None)
+            || self.machines.values().any(|m| m.tasks.contains_key(&task))
+        {
+            return false;
         }
+        room.add(&job.spec, &need);
+        let attempt = queued.attempt.unwrap_or_else(|| self.attempts.give());
+        let Some(machine) = self.machines.get_mut(&room.id) else { return false };
+        machine.remember_image(&job.spec);
+        machine.tasks.insert(task, Held { attempt, stage: PieceStage::Unknown });
+        machine.changed = self.number + 1;
+        self.news = true;
+        tracing::debug!(%task, machine = %room.id, %attempt, "starts");
+        orders.push(Order::Start { piece: task, r#try: attempt });
+        true
+    }
+
+    /// Whether a job's tasks may be tried now: one that fails pauses.
+    fn may_try(&self, now: Steady, job: JobId) -> bool {
+        self.faults.get(&job).is_none_or(|f| f.until <= now)
     }
 
     /// Whether a task is neither done nor known here to have completed.
@@ -880,52 +943,26 @@
     }
 
     /// Gives every granted task that is not on a machine the one where it is to start. It
-    /// starts with that machine's next report.
-    fn assign_granted(&mut self, env: &Surroundings<'_>) {
+    /// starts with that machine's next report, or in the answer to this one if it is the machine that
+    /// `reporting` names. What finds no machine stands in the backlog.
+    fn assign_granted(&mut self, env: &Surroundings<'_>, reporting: &MachineId) {
         self.assign = false;
         self.assigned = env.now;
         self.unplaced = false;
+        self.backlog.clear();
         self.queued = 0;
         for m in self.machines.values_mut() {
             m.queue.clear();
         }
-        let held: FxHashSet<TaskId> =
-            self.machines.values().flat_map(|m| m.tasks.keys()).copied().collect();
-        let mut wanted: Vec<(Urgency, JobId, &Grant, Vec<TaskId>)> = Vec::new();
-        for g in &self.body.grants {
-            let Some(job) = env.ledger.jobs.get(&g.job()) else { continue };
-            if self.faults.get(&g.job()).is_some_and(|f| f.until > env.now) {
-                self.unplaced = true;
-                continue;
-            }
-            let spent = |t: &TaskId| g.attempt.is_some_and(|a| self.spent.contains(&(*t, a)));
-            let tasks: Vec<TaskId> = g
-                .tasks
-                .iter()
-                .map(|index| TaskId { job: g.job(), index })
-                .filter(|t| !held.contains(t) && self.may_start(env.ledger, *t) && !spent(t))
-                .collect();
-            if !tasks.is_empty() {
-                wanted.push((job.spec.urgency, g.job(), g, tasks));
-            }
-        }
-        if wanted.is_empty() {
+        let wanted = self.wanted(env, &self.body.grants);
+        let ahead = self.wanted(env, &self.body.ahead);
+        self.unplaced = wanted.pauses;
+        if wanted.tasks.is_empty() && ahead.tasks.is_empty() {
             return;
         }
-        wanted.sort_by_key(|w| (w.0, w.1));
-        let mut rooms: Vec<Room> = self
-            .machines
-            .iter()
-            .filter_map(|(id, m)| {
-                let mut room = m.room(id, env, !self.drained.contains(id))?;
-                room.slow = self.body.slow.contains(id);
-                room.kept = self.body.kept.binary_search(id).is_ok();
-                room.delay_s = env.pace.delay_s(env.now.since(m.heard));
-                Some(room).filter(|r| r.open)
-            })
-            .collect();
+        let mut rooms = self.open_rooms(env, reporting);
         let mut queues: Vec<(MachineId, Queued)> = Vec::new();
-        for (_, _, grant, tasks) in wanted {
+        for (grant, tasks) in wanted.tasks {
             let Some(job) = env.ledger.jobs.get(&grant.job()) else { continue };
             let need = Need::of(&job.spec);
             let zone = grant.zone.as_deref();
@@ -941,6 +978,24 @@
                 }),
             );
         }
+        if !ahead.tasks.is_empty() {
+            self.most_urgent = most_urgent_by_kind(env.ledger, &rooms);
+            for (grant, tasks) in ahead.tasks {
+                let Some(job) = env.ledger.jobs.get(&grant.job()) else { continue };
+                let need = Need::of(&job.spec);
+                let mut first: Vec<Room> =
+                    rooms.extract_if(.., |r| self.is_first(&job.spec, r)).collect();
+                let chosen = place::spread(&job.spec, &need, &mut first, None, tasks.len());
+                self.backlog.extend(tasks.iter().skip(chosen.len()));
+                queues.extend(
+                    tasks
+                        .into_iter()
+                        .zip(chosen)
+                        .map(|(task, i)| (first[i].id.clone(), Queued { task, attempt: None })),
+                );
+                rooms.append(&mut first);
+            }
+        }
         self.queued = queues.len();
         for (id, q) in queues {
             if let Some(m) = self.machines.get_mut(&id) {
@@ -949,6 +1004,49 @@
         }
     }
 
+    /// The granted tasks that are neither on a machine nor done, most urgent first. Within an urgency
+    /// the order of the grants holds.
+    fn wanted<'a>(&self, env: &Surroundings<'_>, grants: &'a [Grant]) -> Wanted<'a> {
+        let held: FxHashSet<TaskId> =
+            self.machines.values().flat_map(|m| m.tasks.keys()).copied().collect();
+        let mut pauses = false;
+        let mut by_urgency: Vec<(Urgency, &Grant, Vec<TaskId>)> = Vec::new();
+        for g in grants {
+            let Some(job) = env.ledger.jobs.get(&g.job()) else { continue };
+            if !self.may_try(env.now, g.job()) {
+                pauses = true;
+                continue;
+            }
+            let spent = |t: &TaskId| g.attempt.is_some_and(|a| self.spent.contains(&(*t, a)));
+            let tasks: Vec<TaskId> = g
+                .tasks
+                .iter()
+                .map(|index| TaskId { job: g.job(), index })
+                .filter(|t| !held.contains(t) && self.may_start(env.ledger, *t) && !spent(t))
+                .collect();
+            if !tasks.is_empty() {
+                by_urgency.push((job.spec.urgency, g, tasks));
+            }
+        }
+        by_urgency.sort_by_key(|w| w.0);
+        Wanted { tasks: by_urgency.into_iter().map(|(_, g, tasks)| (g, tasks)).collect(), pauses }
+    }
+
+    /// The machines that take new tasks now.
+    fn open_rooms(&self, env: &Surroundings<'_>, reporting: &MachineId) -> Vec<Room> {
+        let room = |(id, m): (&MachineId, &Machine)| {
+            let mut room = m.room(id, env, !self.drained.contains(id))?;
+            room.slow = self.body.slow.contains(id);
+            room.kept = self.body.kept.binary_search(id).is_ok();
+            room.delay_s = match id == reporting {
+                true => 0.0,
+                false => env.pace.delay_s(env.now.since(m.heard)),
+            };
+            Some(room).filter(|r| r.open)
+        };
+        self.machines.iter().filter_map(room).collect()
+    }
+
     /// What the leader is told, in about `room` bytes. Machines that do not fit are told of next, and
     /// the leader takes none of it before all is there.
     pub fn summary(&mut self, now: Steady, pace: &Pace, room: usize) -> Summary {
@@ -1034,6 +1132,25 @@
     }
 }
 
+/// Granted tasks that are to start somewhere.
+struct Wanted<'a> {
+    tasks: Vec<(&'a Grant, Vec<TaskId>)>,
+    /// Whether jobs that fail wait for their next try.
+    pauses: bool,
+}
+
+/// For each kind of these machines, the most urgent open work that may use it.
+fn most_urgent_by_kind(ledger: &Ledger, rooms: &[Room]) -> BTreeMap<MachineKind, Option<Urgency>> {
+    let specs = || ledger.jobs.values().map(|j| &j.spec);
+    let mut kinds = BTreeMap::new();
+    for r in rooms {
+        kinds
+            .entry((r.hull.clone(), r.zone.clone(), r.spot))
+            .or_insert_with(|| place::most_urgent(specs(), &r.hull, &r.zone, r.spot));
+    }
+    kinds
+}
+
 fn view(id: &MachineId, m: &Machine, now: Steady) -> MachineView {
     MachineView {
         id: id.clone(),
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -397,3 +397,57 @@
         assert_eq!(hear(&mut core, now + 600, &report(1, 6, 3, None)).1, 1 - starts);
     }
 }
+
+#[test]
+fn a_place_is_filled_in_the_answer_to_the_report_that_shows_it_empty() {
+    // Without that, each place stays empty for a report and more, see the leader's test.
+    type Edit = fn(&mut wire::JobSpec);
+    // (what, the urgent job, the image of the task that ends, starts in the answer)
+    let cases: [(&str, Option<Edit>, &str, usize); 4] = [
+        ("warm", None, "img", 1),
+        ("urgent work may go there", Some(|_| {}), "img", 0),
+        ("urgent work may not", Some(|s| s.yard = Some("b".into())), "img", 1),
+        ("its image is not there", None, "other", 0),
+    ];
+    for (what, urgent, image, starts) in cases {
+        let mut core = node(0);
+        let mut put = |spec: wire::JobSpec| {
+            let path = ledger::job_key(spec.r#ref);
+            let v = wire::to_value(&Accepted { spec, at: Wall(1) });
+            core.ledger.load(&Item { path, v, stamp: Revision(10) }, &mut Brought::default());
+        };
+        put(wire::JobSpec { vcpus: 8.0, bundle: image.into(), ..spec(2, 1) });
+        if let Some(edit) = urgent {
+            let mut other = wire::JobSpec { urgency: Urgency::High, ..spec(3, 1) };
+            edit(&mut other);
+            put(other);
+        }
+        let grant = Grant { job: 1, tasks: Ranges::span(1, 2), zone: None, attempt: None };
+        let owners = OwnerNews { base: PlanSeq(1), ..OwnerNews::default() };
+        let body = PlanBody { ahead: vec![grant], ..PlanBody::default() };
+        let plan = Plan {
+            term: TERM,
+            life: LIFE,
+            seq: PlanSeq(2),
+            clock_ms: 2,
+            heard: 0,
+            owners,
+            body: Some(body),
+        };
+        assert!(core.part.follow(plan));
+        let of = |stage, cause| Piece {
+            piece: TaskId { job: JobId(2), index: 0 },
+            r#try: Attempt(7),
+            stage,
+            cause,
+        };
+        let runs = vec![of(PieceStage::Running, None)];
+        let ended = vec![of(PieceStage::Ended, Some(Cause::Done))];
+        let full = Report { pieces: runs, ..report(1, 1, TERM.0, None) };
+        let empty = Report { pieces: ended, ..report(1, 2, TERM.0, None) };
+        assert_eq!(hear(&mut core, 1_000, &full), (true, 0), "{what}: there is no room");
+        assert_eq!(hear(&mut core, 1_030, &empty), (true, starts), "{what}");
+        let again = Report { sequence: 3, ..empty };
+        assert_eq!(hear(&mut core, 1_040, &again), (true, 0), "{what}: once only");
+    }
+}
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -260,6 +260,10 @@
     /// Machines that are kept for gangs, and for work that may not use spot machines.
     #[serde(default)]
     pub kept: Vec<MachineId>,
+    /// What this part may start besides, as soon as other tasks leave room for it, where no work that is
+    /// more urgent may go.
+    #[serde(default)]
+    pub ahead: Vec<Grant>,
 }
 
 /// A gang that is to be stopped. It can be told any number of times, and late: what
--- a/src/place.rs
+++ b/src/place.rs
@@ -9,7 +9,7 @@
 
 use crate::ledger::Ledger;
 use crate::model::{Cores, MachineId, TaskId};
-use crate::wire::{Flavor, JobSpec, PieceStage, Shape};
+use crate::wire::{Flavor, JobSpec, PieceStage, Shape, Urgency};
 
 /// Machine types by name, with what their machines offer.
 pub type Flavors = HashMap<String, Flavor>;
@@ -63,6 +63,17 @@
         && (!spot || spec.loaners)
 }
 
+/// The most urgent of some jobs that may use machines of that type, zone and kind. Less urgent work takes
+/// places there only after it.
+pub fn most_urgent<'a>(
+    specs: impl Iterator<Item = &'a JobSpec>,
+    hull: &str,
+    zone: &str,
+    spot: bool,
+) -> Option<Urgency> {
+    specs.filter(|spec| allowed(spec, hull, zone, spot)).map(|spec| spec.urgency).min()
+}
+
 /// A machine as placement sees it.
 #[derive(Clone, Debug)]
 pub struct Room {
@@ -120,6 +131,11 @@
         }
     }
 
+    /// Whether a task would not wait for its image here.
+    pub fn is_warm(&self, spec: &JobSpec) -> bool {
+        self.has(&spec.bundle) && !self.fetching.contains(&spec.bundle)
+    }
+
     fn has(&self, image: &str) -> bool {
         self.images.iter().any(|(name, _)| **name == *image)
     }
--- a/tests/upgrade/main.rs
+++ b/tests/upgrade/main.rs
@@ -115,6 +115,7 @@
             standings: vec![Standing { job: 412, running: 3, waits: Waits::ForMachines }],
             stops: vec![],
             kept: vec![],
+            ahead: vec![],
         }),
     }
 }
