What has ample time beyond what it needs counts for less at first

A job that has more than half of its time left beyond its run now loses up to three tenths of its weight.

--- a/src/lead.rs
+++ b/src/lead.rs
@@ -39,6 +39,10 @@
 const STARVED_AT_LIMIT_MS: u64 = 60_000;
 /// Part of its limit from which on a team counts as being at it.
 const AT_LIMIT: f64 = 0.5;
+/// Part of its time that a job may have left beyond what it needs before it counts for less, and what it
+/// loses when all of its time is left.
+const AMPLE_SLACK: f64 = 0.5;
+const AMPLE_LOSS: f64 = 0.3;
 /// How long a gang that fits nowhere waits before machines are cleared for it.
 const CLEARED_MS: u64 = 33_000;
 /// The rank that it has until it has begun.
@@ -1246,8 +1250,9 @@
                 // In the end age wins, so that nothing waits for ever.
                 late if late < -0.5 * due => 0.6 + ((age - 2.0 * due) / 60.0).clamp(0.0, 6.0),
                 late if late < 0.0 => 0.8,
-                // Among those that can make it, little work first: more jobs make it so.
-                _ => 1.0 + (1.0 + 0.3 * age / due) / (0.3 + work),
+                // Among those that can make it, little work first: more jobs make it so. What has much more
+                // time than it needs can wait.
+                left => slack_part(left / due) * (1.0 + (1.0 + 0.3 * age / due) / (0.3 + work)),
             }
         }
         None => 1.0 + age / 600.0,
@@ -1255,6 +1260,12 @@
     base * pressing * if required { 1.5 } else { 1.0 }
 }
 
+/// Part of its importance that a job keeps while so much of its time is left beyond what it needs.
+fn slack_part(slack: f64) -> f64 {
+    let beyond = ((slack - AMPLE_SLACK) / (1.0 - AMPLE_SLACK)).clamp(0.0, 1.0);
+    1.0 - AMPLE_LOSS * beyond
+}
+
 /// Milliseconds since a job was accepted.
 fn waited_ms(ctx: &Context<'_>, job: &Job) -> u64 {
     ctx.wall.0.saturating_sub(job.at.0)
--- a/src/lead/tests.rs
+++ b/src/lead/tests.rs
@@ -861,3 +861,41 @@
         assert_eq!(told as usize, ahead + as_urgent, "{what}");
     }
 }
+
+#[test]
+fn what_has_ample_time_yields_at_first() {
+    // Seen on a bench day: arrays with a deadline of twice their run waited behind small ones that had 200 s for
+    // 15 s of work, and missed it. (age, deadline, run, tasks) of a job and of one that goes before it
+    let small = |age: f64| (age, 200.0, 15.0, 60);
+    let large = |age: f64| (age, 110.0, 50.0, 50);
+    let cases = [
+        (small(0.0), large(0.0)),
+        (small(20.0), large(10.0)),
+        // Little work first again.
+        (large(10.0), small(60.0)),
+        (large(0.0), small(120.0)),
+        // What is late already comes behind.
+        (large(70.0), small(100.0)),
+        (small(190.0), large(40.0)),
+    ];
+    let mut core = leader();
+    let mut weigh = |(age, due_s, run_s, tasks): (f64, f64, f64, u32)| {
+        let now = at(1_000_000);
+        let accepted = Wall(now.wall.0 - (age * 1_000.0) as u64);
+        let spec = wire::JobSpec { due_s: Some(due_s), guess_s: run_s, ..spec(8, tasks) };
+        let accepted = Accepted { spec, at: accepted };
+        let item = Item {
+            path: ledger::job_key(JobId(8)),
+            v: wire::to_value(&accepted),
+            stamp: Revision(10),
+        };
+        core.ledger.jobs.remove(&JobId(8));
+        core.ledger.load(&item, &mut Brought::default());
+        core.with_lead(now, |_, ctx| weight(ctx, &ctx.ledger.jobs[&JobId(8)], run_s, false))
+            .unwrap()
+    };
+    for (behind, first) in cases {
+        let weights = (weigh(behind), weigh(first));
+        assert!(weights.0 < weights.1, "{behind:?} {first:?}: {weights:?}");
+    }
+}
