--- /dev/null
+++ b/src/lead/describe.rs
@@ -0,0 +1,58 @@
+//! The line in the log that tells operators what is held, granted and open.
+
+use super::{Context, Lead};
+use crate::ledger;
+use crate::model::Cores;
+use crate::place::Need;
+use crate::wire::PieceStage;
+
+/// The versions of the controllers that are up, in their order.
+fn versions(ctx: &Context<'_>) -> String {
+    let of = |m: &ledger::MemberRecord| match m.version.as_str() {
+        "" => "before 0.2".to_string(),
+        version => version.to_string(),
+    };
+    let all: Vec<String> = ctx.ledger.members.values().map(|(m, _)| of(m)).collect();
+    all.join(",")
+}
+
+impl Lead {
+    /// A line for operators: what is held, granted and open, and what cores do.
+    pub fn describe(&self, ctx: &Context<'_>) -> String {
+        let on = self.fleet.on_machines();
+        let (mut runs, mut fetches, mut free) = (Cores(0), Cores(0), Cores(0));
+        let mut waits = Cores(0);
+        for (t, s) in &on {
+            let cores = ctx.ledger.jobs.get(&t.job).map_or(Cores(0), |j| Need::of(&j.spec).cores);
+            let sum = match s.stage {
+                PieceStage::Fetching => &mut fetches,
+                PieceStage::Waiting => &mut waits,
+                _ => &mut runs,
+            };
+            sum.0 += cores.0;
+        }
+        let rooms = self.fleet.rooms(ctx);
+        rooms.iter().for_each(|r| free.0 += r.free.cores.0);
+        format!(
+            "machines={} up={} spot={} owners={} tasks={} granted={} limbo={} unsettled={} jobs={} \
+             cores: run={:.0} fetch={:.0} wait={:.0} free={:.0} ready={:.0}/{:.0} kept={} versions={}",
+            self.fleet.machines.len(),
+            self.fleet.machines.values().filter(|m| m.up).count(),
+            self.fleet.machines.values().filter(|m| m.up && m.offer.spot).count(),
+            self.fleet.owners.len(),
+            on.len(),
+            self.granted.keys().filter(|t| !on.contains_key(t)).count(),
+            self.limbo.len(),
+            self.fleet.unsettled.len(),
+            ctx.ledger.jobs.len(),
+            runs.amount(),
+            fetches.amount(),
+            waits.amount(),
+            free.amount(),
+            self.market.ready(false),
+            self.market.ready(true),
+            self.kept.len(),
+            versions(ctx),
+        )
+    }
+}
--- /dev/null
+++ b/src/lead/filling.rs
@@ -0,0 +1,241 @@
+//! What an epoch fills: cores of teams, room on machines and places about to be left, and the grants
+//! that come of it.
+
+use std::collections::BTreeMap;
+
+use rustc_hash::FxHashMap;
+
+use super::speed::Speed;
+use super::turnover::{Turnover, take_places};
+use super::{Context, Granted, Lead};
+use crate::fleet::{Fleet, OnMachines};
+use crate::ledger::Job;
+use crate::model::{Attempt, Cores, JobId, NodeId, TaskId};
+use crate::peer::Waits;
+use crate::place::{Need, Room};
+use crate::{place, wire};
+
+/// What an epoch fills: teams' use of cores and accelerators, room on machines, and grants.
+#[derive(Clone)]
+pub(super) struct Filling {
+    pub(super) used: Vec<(Cores, Cores)>,
+    pub(super) rooms: Vec<Room>,
+    /// Places that tasks are about to leave, and their cores, granted ones included.
+    pub(super) turnover: Vec<Turnover>,
+    pub(super) extra: Cores,
+    pub(super) grants: Vec<(TaskId, Granted)>,
+    /// How many tasks of each job are held, and how many may be running somewhere.
+    pub(super) counts: FxHashMap<JobId, (u32, u32)>,
+}
+
+impl Filling {
+    /// Takes places for up to `count` tasks of a job: on machines with room, and, if `ahead`,
+    /// where others are about to end.
+    fn choose_places(
+        &mut self,
+        ctx: &Context<'_>,
+        fleet: &Fleet,
+        job: &Job,
+        mut zones: ZoneRule,
+        count: usize,
+        ahead: bool,
+    ) -> Vec<Place> {
+        let need = Need::of(&job.spec);
+        let mut places = Vec::new();
+        if !zones.binds() {
+            for i in place::spread(&job.spec, &need, &mut self.rooms, None, count) {
+                places.extend(self.place_on(fleet, i, false));
+            }
+            let left = if ahead { count - places.len() } else { 0 };
+            let turnover = &mut self.turnover;
+            for i in take_places(turnover, &job.spec, &need, None, left) {
+                places.push(Place { node: turnover[i].owner, ahead: true, zone: None });
+            }
+            return places;
+        }
+        while places.len() < count {
+            let open = zones.open(&ctx.settings.params.zones);
+            let Some(i) = open
+                .iter()
+                .find_map(|zone| place::choose(&job.spec, &need, &self.rooms, Some(zone.as_str())))
+            else {
+                break;
+            };
+            self.rooms[i].add(&job.spec, &need);
+            zones.count(&self.rooms[i].zone);
+            places.extend(self.place_on(fleet, i, true));
+        }
+        places
+    }
+
+    /// Whether there is a place for a task at all.
+    fn may_hold(&self, spec: &wire::JobSpec, need: &Need, ahead: bool) -> bool {
+        self.rooms.iter().any(|r| r.takes(spec, need, None))
+            || ahead && self.turnover.iter().any(|t| t.takes(spec, need))
+    }
+
+    fn place_on(&self, fleet: &Fleet, room: usize, bound: bool) -> Option<Place> {
+        let room = &self.rooms[room];
+        let (node, _) = fleet.owners.get(&room.id).copied()?;
+        Some(Place { node, ahead: false, zone: bound.then(|| room.zone.to_string()) })
+    }
+}
+
+/// Where a task is granted.
+struct Place {
+    node: NodeId,
+    /// Whether another task is about to leave it.
+    ahead: bool,
+    /// Set for jobs that are bound to zones.
+    zone: Option<String>,
+}
+
+/// Where a job's tasks may be in relation to each other.
+pub(super) struct ZoneRule {
+    pub(super) one: bool,
+    pub(super) most_per_zone: Option<u32>,
+    pub(super) counts: BTreeMap<String, u32>,
+}
+
+impl ZoneRule {
+    pub(super) fn of(spec: &wire::JobSpec) -> Self {
+        ZoneRule {
+            one: spec.one_zone,
+            most_per_zone: spec.scatter.then(|| spec.pieces.div_ceil(2)),
+            counts: BTreeMap::new(),
+        }
+    }
+    pub(super) fn binds(&self) -> bool {
+        self.one || self.most_per_zone.is_some()
+    }
+    pub(super) fn count(&mut self, zone: &str) {
+        *self.counts.entry(zone.to_string()).or_default() += 1;
+    }
+    /// Zones that may take another task, emptiest first.
+    pub(super) fn open(&self, zones: &[String]) -> Vec<String> {
+        let mut open: Vec<String> = zones
+            .iter()
+            .filter(|z| {
+                let here = self.counts.get(*z).copied().unwrap_or(0);
+                let others = self.counts.iter().any(|(o, n)| o != *z && *n > 0);
+                !(self.one && others) && self.most_per_zone.is_none_or(|m| here < m)
+            })
+            .cloned()
+            .collect();
+        open.sort_by_key(|z| self.counts.get(z).copied().unwrap_or(0));
+        open
+    }
+}
+
+impl Lead {
+    /// Machines as placement sees them.
+    pub(super) fn rooms(&self, ctx: &Context<'_>, fleet: &Fleet) -> Vec<Room> {
+        let mut rooms = fleet.rooms(ctx);
+        for room in &mut rooms {
+            room.slow = self.speeds.get(&room.id).is_some_and(Speed::is_slow);
+        }
+        rooms
+    }
+
+    /// Counts grants under way in where their parts would place them, first on machines with room.
+    pub(super) fn place_under_way(
+        &self,
+        ctx: &Context<'_>,
+        fleet: &Fleet,
+        on: &OnMachines<'_>,
+        rooms: &mut [Room],
+        turnover: &mut [Turnover],
+    ) {
+        let owner = |r: &Room| fleet.owners.get(&r.id).map(|o| o.0);
+        type Alike<'a> = (NodeId, JobId, Option<&'a str>, Option<Attempt>, bool);
+        let mut under_way: BTreeMap<Alike<'_>, usize> = BTreeMap::new();
+        for (t, g) in self.granted.iter().filter(|(t, _)| !on.contains_key(t)) {
+            let alike = (g.node, t.job, g.zone.as_deref(), g.attempt, g.ahead);
+            *under_way.entry(alike).or_default() += 1;
+        }
+        for ((node, job, zone, attempt, ahead), count) in under_way {
+            let Some(job) = ctx.ledger.jobs.get(&job) else { continue };
+            if ahead {
+                let need = Need::of(&job.spec);
+                take_places(turnover, &job.spec, &need, Some(node), count);
+                continue;
+            }
+            // Rooms come part by part.
+            let first = rooms.iter().position(|r| owner(r) == Some(node)).unwrap_or(rooms.len());
+            let len = rooms[first..].iter().take_while(|r| owner(r) == Some(node)).count();
+            let part = &mut rooms[first..first + len];
+            let need = Need::of(&job.spec);
+            if attempt.is_some() {
+                place::pack_in(&job.spec, &need, part, zone, count);
+            } else {
+                place::spread(&job.spec, &need, part, zone, count);
+            }
+        }
+    }
+
+    /// Grants up to `more` tasks of a job, as far as its team's limit, its zones and the
+    /// machines allow; `ahead` if they may also wait for places that others are about to leave.
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn grant_job(
+        &mut self,
+        ctx: &Context<'_>,
+        fleet: &Fleet,
+        on: &OnMachines<'_>,
+        job: &Job,
+        team: usize,
+        more: usize,
+        ahead: bool,
+        filling: &mut Filling,
+    ) {
+        let id = job.spec.r#ref;
+        let need = Need::of(&job.spec);
+        if more == 0 || !filling.may_hold(&job.spec, &need, ahead) {
+            return;
+        }
+        let fits = self.within_limit(ctx, team, &need, filling);
+        if fits < more {
+            self.waits.insert(id, Waits::TeamLimit);
+        }
+        let mut zones = ZoneRule::of(&job.spec);
+        if zones.binds() {
+            if self.limbo.iter().any(|t| t.job == id) {
+                return; // Where the others are is not known.
+            }
+            self.count_zones(id, on, &mut zones);
+        }
+        let free: Vec<TaskId> = (0..job.spec.pieces)
+            .map(|index| TaskId { job: id, index })
+            .filter(|t| self.is_free(ctx, on, *t))
+            .take(more.min(fits))
+            .collect();
+        let chosen = filling.choose_places(ctx, fleet, job, zones, free.len(), ahead);
+        for (task, place) in free.into_iter().zip(chosen) {
+            if let Some(u) = filling.used.get_mut(team) {
+                u.0.0 += need.cores.0;
+                u.1.0 += need.accelerators.0;
+            }
+            let Place { node, zone, ahead } = place;
+            filling.grants.push((
+                task,
+                Granted { node, attempt: None, at: ctx.now, zone, seen: false, ahead },
+            ));
+        }
+    }
+
+    /// Counts where a job's tasks are by zone.
+    pub(super) fn count_zones(&self, id: JobId, on: &OnMachines<'_>, zones: &mut ZoneRule) {
+        for (_, s) in on.iter().filter(|(t, _)| t.job == id) {
+            zones.count(&s.machine.zone);
+        }
+        let granted = self.granted.iter().map(|(t, g)| (t, &g.zone));
+        let revoked = self.revoked.iter().map(|(t, r)| (t, &r.zone));
+        for (t, zone) in granted.chain(revoked) {
+            if t.job == id
+                && !on.contains_key(t)
+                && let Some(z) = zone
+            {
+                zones.count(z);
+            }
+        }
+    }
+}
--- a/src/lead/gang.rs
+++ b/src/lead/gang.rs
@@ -9,7 +9,8 @@
 
 use rustc_hash::FxHashSet;
 
-use super::{Context, Filling, Granted, Lead, Revoked, ZoneRule};
+use super::filling::{Filling, ZoneRule};
+use super::{Context, Granted, Lead, Revoked};
 use crate::fleet::{Fleet, OnMachines};
 use crate::ledger::Job;
 use crate::model::{Attempt, Cores, JobId, MachineId, PlanSeq, Steady, TaskId};
--- /dev/null
+++ b/src/lead/importance.rs
@@ -0,0 +1,184 @@
+//! How important jobs are: their rank, the weight of their first task, and who is within a guarantee.
+
+use std::collections::{HashMap, HashSet};
+
+use rustc_hash::FxHashMap;
+
+use super::waiting::{STARVED_RANK, STARVED_WEIGHT};
+use super::{Context, Lead};
+use crate::admit::{Curve, Demand};
+use crate::config::Settings;
+use crate::ledger::Job;
+use crate::model::{Cores, JobId};
+use crate::place::Need;
+use crate::wire::{Shape, Urgency};
+use crate::{admit, wire};
+
+/// Part of its time that a job may have left beyond what it needs before it counts for less, and what it
+/// loses when all of its time is left.
+const AMPLE_SLACK: f64 = 0.5;
+
+const AMPLE_LOSS: f64 = 0.3;
+
+/// How much less each further task of a job is worth than the one before.
+const FADE: f64 = 0.995;
+
+/// Part of its tasks that it begins with.
+const STARVED_PART: u32 = 8;
+
+pub(super) fn rank(urgency: Urgency) -> u32 {
+    match urgency {
+        Urgency::Critical => 1,
+        Urgency::High => 2,
+        Urgency::Normal => 3,
+        Urgency::BestEffort => 4,
+    }
+}
+
+/// Seconds after acceptance by which a job should be done: its own deadline, or else what
+/// the settings expect of its class.
+pub(super) fn due_s(settings: &Settings, spec: &wire::JobSpec) -> Option<f64> {
+    spec.due_s.or_else(|| {
+        let of_class = settings
+            .params
+            .objectives
+            .iter()
+            .filter(|o| o.kind == "finished" && o.class.as_deref() == Some(spec.lane.as_str()));
+        of_class.filter_map(|o| o.within_s).min_by(f64::total_cmp)
+    })
+}
+
+/// Importance of a job's first task per core. Urgency counts most; within an urgency, work
+/// that is close to its deadline and can still make it, and work within a guarantee.
+pub(super) fn weight(ctx: &Context<'_>, job: &Job, run_s: f64, required: bool) -> f64 {
+    let base = match job.spec.urgency {
+        Urgency::Critical => 64.0,
+        Urgency::High => 16.0,
+        Urgency::Normal => 4.0,
+        Urgency::BestEffort => 1.0,
+    };
+    let age = ctx.wall.0.saturating_sub(job.at.0) as f64 / 1000.0;
+    let pressing = match due_s(ctx.settings, &job.spec) {
+        Some(due) => {
+            let due = due.max(1.0);
+            let work = f64::from(job.remaining()) * run_s / due;
+            match due - age - run_s {
+                // Too late for its time: work that can still make it goes first.
+                // In the end age wins, so that nothing waits for ever.
+                late if late < -0.5 * due => 0.6 + ((age - 2.0 * due) / 60.0).clamp(0.0, 6.0),
+                late if late < 0.0 => 0.8,
+                // Among those that can make it, little work first: more jobs make it so. What has much more
+                // time than it needs can wait.
+                left => slack_part(left / due) * (1.0 + (1.0 + 0.3 * age / due) / (0.3 + work)),
+            }
+        }
+        None => 1.0 + age / 600.0,
+    };
+    base * pressing * if required { 1.5 } else { 1.0 }
+}
+
+/// Part of its importance that a job keeps while so much of its time is left beyond what it needs.
+fn slack_part(slack: f64) -> f64 {
+    let beyond = ((slack - AMPLE_SLACK) / (1.0 - AMPLE_SLACK)).clamp(0.0, 1.0);
+    1.0 - AMPLE_LOSS * beyond
+}
+
+/// Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs.
+fn within_guarantees(ctx: &Context<'_>) -> HashSet<JobId> {
+    let mut room: HashMap<&str, Cores> = ctx
+        .settings
+        .params
+        .teams
+        .iter()
+        .filter(|t| t.cpus > 0.0)
+        .map(|t| (t.name.as_str(), Cores::offer(t.cpus)))
+        .collect();
+    let mut jobs: Vec<&Job> = ctx.ledger.jobs.values().collect();
+    jobs.sort_by_key(|j| (j.at, j.spec.r#ref));
+    let mut inside = HashSet::new();
+    for job in jobs {
+        let tasks = match job.spec.shape {
+            Shape::Sweep | Shape::Gang => job.remaining(),
+            Shape::Service => job.spec.pieces,
+        };
+        let need = Cores(Need::of(&job.spec).cores.0 * u64::from(tasks));
+        if let Some(left) = room.get_mut(job.spec.owner.as_str())
+            && need <= *left
+        {
+            *left = left.less(need);
+            inside.insert(job.spec.r#ref);
+        }
+    }
+    inside
+}
+
+impl Lead {
+    /// A task's expected run time: the owner's estimate, corrected by how its class's
+    /// estimates turned out so far.
+    pub(super) fn run_s(&self, job: &Job) -> f64 {
+        let ratio = self.runs.get(&job.spec.lane).filter(|r| r.1 > 0.0).map_or(1.0, |r| r.0 / r.1);
+        job.spec.guess_s.max(1.0) * ratio.clamp(0.3, 3.0)
+    }
+
+    /// What every unfinished job asks of admission.
+    pub(super) fn demands(
+        &self,
+        ctx: &Context<'_>,
+        counts: &FxHashMap<JobId, (u32, u32)>,
+        failing: &HashSet<JobId>,
+        at_limit: &[bool],
+    ) -> Vec<Demand> {
+        let required = within_guarantees(ctx);
+        let ranks: HashMap<JobId, u32> =
+            ctx.ledger.jobs.iter().map(|(id, j)| (*id, rank(j.spec.urgency))).collect();
+        let ranks = admit::revised_ranks(&ranks, &[]);
+        let teams = ctx.settings.params.teams.iter().enumerate();
+        let teams: FxHashMap<&str, usize> = teams.map(|(i, t)| (t.name.as_str(), i)).collect();
+        let mut demands = Vec::with_capacity(ctx.ledger.jobs.len());
+        for (id, job) in &ctx.ledger.jobs {
+            let (held, limbo) = counts.get(id).copied().unwrap_or_default();
+            let runnable = job.remaining().saturating_sub(held + limbo);
+            let Some(team) = teams.get(job.spec.owner.as_str()).copied() else {
+                continue;
+            };
+            // A job that fails everywhere keeps the value it would have, but only one task
+            // tries.
+            let tries = if failing.contains(id) { runnable.min(1) } else { runnable };
+            let mut rank = ranks.get(id).copied().unwrap_or(u32::MAX);
+            let mut weight = weight(ctx, job, self.run_s(job), required.contains(id));
+            let mut tries = match job.spec.shape {
+                Shape::Gang => self.gang_tries(job, held, limbo),
+                Shape::Sweep | Shape::Service => tries,
+            };
+            let at_limit = at_limit.get(team).copied().unwrap_or(false);
+            let starved = self.starved(ctx, job, held, at_limit);
+            let gang = job.spec.shape == Shape::Gang;
+            if starved {
+                // Nobody waits without bound: it begins with a few tasks before others go on, or
+                // with all if it runs whole or not at all.
+                rank = rank.min(STARVED_RANK);
+                weight = weight.max(STARVED_WEIGHT);
+                if !gang {
+                    tries = tries.min(job.spec.pieces.div_ceil(STARVED_PART));
+                }
+            }
+            // What is kept for such gangs is of no use to others.
+            let kept_for = gang && tries > 0;
+            demands.push(Demand {
+                job: *id,
+                rank,
+                weight,
+                curve: match job.spec.shape {
+                    Shape::Gang => Curve::Step,
+                    Shape::Sweep | Shape::Service => Curve::Concave { fade: FADE },
+                },
+                team,
+                cores: Need::of(&job.spec).cores,
+                min: held,
+                max: held + tries,
+                required: starved || kept_for || required.contains(id),
+            });
+        }
+        demands
+    }
+}
--- /dev/null
+++ b/src/lead/plans.rs
@@ -0,0 +1,154 @@
+//! What controllers are told of an epoch once it is on record.
+
+use std::collections::BTreeMap;
+
+use rustc_hash::FxHashMap;
+
+use super::{Context, Epoch, Granted, Lead};
+use crate::model::{Attempt, JobId, MachineId, NodeId, PlanSeq, Ranges, Session, Steady};
+use crate::peer::{Grant, Plan, PlanBody, Standing, Waits};
+use crate::wire::PieceStage;
+
+/// Longest time for which parts are not told how jobs stand.
+const STANDINGS_MS: u64 = 1_000;
+
+/// What a controller is granted.
+#[derive(Default)]
+struct NodeGrants {
+    with_room: Vec<Grant>,
+    ahead: Vec<Grant>,
+}
+
+impl Lead {
+    /// Makes an epoch hold, once its transaction is known to be carried out.
+    pub fn publish(&mut self, ctx: &Context<'_>, epoch: Epoch) {
+        self.recorded.extend(epoch.recorded);
+        self.ahead.extend(epoch.ahead);
+        for (task, g) in epoch.grants {
+            self.ahead.remove(&task);
+            if let Some(attempt) = g.attempt {
+                self.note_gang(ctx.now, task.job, attempt);
+            }
+            self.granted.insert(task, Granted { at: ctx.now, ..g });
+        }
+        let drain: Vec<MachineId> = self
+            .fleet
+            .machines
+            .iter()
+            .filter(|(_, m)| m.draining.is_some())
+            .map(|(id, _)| id.clone())
+            .collect();
+        let lapsed: Vec<(MachineId, Session)> =
+            self.fleet.lapsed.iter().map(|(id, s)| (id.clone(), *s)).collect();
+        let mut slow: Vec<MachineId> =
+            self.speeds.iter().filter(|(_, s)| s.is_slow()).map(|(id, _)| id.clone()).collect();
+        slow.sort();
+        let mut grants = self.grants_by_node();
+        let mut bodies: BTreeMap<NodeId, PlanBody> = BTreeMap::new();
+        for id in self.fleet.nodes.keys() {
+            let NodeGrants { with_room, ahead } = grants.remove(id).unwrap_or_default();
+            let body = PlanBody {
+                grants: with_room,
+                ahead,
+                drain: drain.clone(),
+                slow: slow.clone(),
+                lapsed: lapsed.clone(),
+                standings: vec![],
+                stops: self.stops(),
+                kept: self.kept.clone(),
+            };
+            bodies.insert(*id, body);
+        }
+        let same = |id: &NodeId, b: &PlanBody| {
+            self.bodies.get(id).is_some_and(|o| {
+                o.grants == b.grants
+                    && o.ahead == b.ahead
+                    && o.drain == b.drain
+                    && o.slow == b.slow
+                    && o.lapsed == b.lapsed
+                    && o.stops == b.stops
+                    && o.kept == b.kept
+            })
+        };
+        // A plan that tells nothing new would only be sent around.
+        let due = ctx.now.since(self.told_standings) >= STANDINGS_MS;
+        let news = self.seq == PlanSeq(0)
+            || self.fleet.newest() > self.seq
+            || self.revoked.values().any(|r| r.seq > self.seq)
+            || bodies.iter().any(|(id, b)| !same(id, b));
+        if !news && !due {
+            return;
+        }
+        let standings = self.standings(ctx);
+        if !news && self.bodies.values().all(|b| b.standings == standings) {
+            return;
+        }
+        self.told_standings = ctx.now;
+        for body in bodies.values_mut() {
+            body.standings = standings.clone();
+        }
+        self.bodies = bodies;
+        self.seq = PlanSeq(self.seq.0 + 1);
+    }
+
+    /// What each controller is granted: where there is room, and ahead of it, first what was granted first.
+    fn grants_by_node(&self) -> BTreeMap<NodeId, NodeGrants> {
+        type Alike<'a> = (NodeId, JobId, Option<&'a str>, Option<Attempt>, bool);
+        let mut alike: BTreeMap<Alike<'_>, (Steady, Ranges)> = BTreeMap::new();
+        for (t, g) in &self.granted {
+            let key = (g.node, t.job, g.zone.as_deref(), g.attempt, g.ahead);
+            let (oldest, tasks) = alike.entry(key).or_insert((g.at, Ranges::default()));
+            *oldest = g.at.min(*oldest);
+            tasks.insert(t.index);
+        }
+        let mut ahead_by_age: Vec<(Steady, NodeId, Grant)> = Vec::new();
+        let mut by_node: BTreeMap<NodeId, NodeGrants> = BTreeMap::new();
+        for ((node, job, zone, attempt, ahead), (oldest, tasks)) in alike {
+            let grant = Grant { job: job.0, tasks, zone: zone.map(str::to_string), attempt };
+            if ahead {
+                ahead_by_age.push((oldest, node, grant));
+            } else {
+                by_node.entry(node).or_default().with_room.push(grant);
+            }
+        }
+        ahead_by_age.sort_by_key(|(oldest, _, _)| *oldest);
+        for (_, node, grant) in ahead_by_age {
+            by_node.entry(node).or_default().ahead.push(grant);
+        }
+        by_node
+    }
+
+    fn standings(&self, ctx: &Context<'_>) -> Vec<Standing> {
+        let on = self.fleet.on_machines();
+        let mut running: FxHashMap<JobId, u32> = FxHashMap::default();
+        // What still fetches its image or waits for its gang does not run.
+        let runs = |s: PieceStage| matches!(s, PieceStage::Running | PieceStage::Flushing);
+        for (t, _) in on.iter().filter(|(_, s)| runs(s.stage)) {
+            *running.entry(t.job).or_default() += 1;
+        }
+        ctx.ledger
+            .jobs
+            .keys()
+            .map(|job| Standing {
+                job: job.0,
+                running: running.get(job).copied().unwrap_or(0),
+                waits: self.waits.get(job).copied().unwrap_or(Waits::No),
+            })
+            .collect()
+    }
+
+    /// A node's plan as of now, with what it does not follow yet.
+    pub fn plan_for(&self, node: NodeId, now: Steady) -> Option<Plan> {
+        let state = self.fleet.nodes.get(&node).filter(|_| self.seq > PlanSeq(0))?;
+        let body = self.bodies.get(&node)?;
+        Some(Plan {
+            term: self.term,
+            life: state.life,
+            seq: self.seq,
+            clock_ms: now.0,
+            heard: state.number,
+            owners: self.fleet.owner_news(state.followed),
+            body: (state.followed != self.seq).then(|| body.clone()),
+        })
+    }
+}
--- /dev/null
+++ b/src/lead/renting.rs
@@ -0,0 +1,135 @@
+//! What the leader tells `capacity` of machines and of work that waits, and what it does with the answer.
+
+use std::collections::HashMap;
+
+use rustc_hash::{FxHashMap, FxHashSet};
+
+use super::waiting::waited_ms;
+use super::{Context, Epoch, Lead};
+use crate::capacity;
+use crate::capacity::{Held, Offer, Want};
+use crate::fleet::{Fleet, OnMachines};
+use crate::ledger::Job;
+use crate::model::{Cores, JobId, MachineId, PlanSeq, TaskId};
+use crate::place::{Need, Room};
+use crate::wire::{Shape, Urgency};
+
+/// Time between two decisions on what to rent and return.
+pub(super) const CAPACITY_MS: u64 = 1_000;
+
+impl Lead {
+    pub(super) fn decide_capacity(
+        &mut self,
+        ctx: &Context<'_>,
+        fleet: &Fleet,
+        on: &OnMachines<'_>,
+        rooms: &[Room],
+        epoch: &Epoch,
+    ) {
+        let now = ctx.now;
+        let granting: FxHashSet<TaskId> = epoch.grants.iter().map(|g| g.0).collect();
+        let mut wants: Vec<Want<'_>> = Vec::new();
+        let (mut brief_cores, mut urgent, mut long) = (Cores(0), Cores(0), Cores(0));
+        // Gangs that may not use spot machines, and those that may: all, and the largest.
+        let mut gangs = [(Cores(0), Cores(0)); 2];
+        let mut team_room: HashMap<&str, u64> = HashMap::new();
+        for t in &ctx.settings.params.teams {
+            let limit = t.core_limit().map_or(u64::MAX, |c| c.0);
+            team_room.insert(&t.name, limit);
+        }
+        let mut held: FxHashMap<JobId, u32> = FxHashMap::default();
+        let others = self.granted.keys().chain(granting.iter());
+        for t in on.keys().chain(others.filter(|t| !on.contains_key(t))) {
+            *held.entry(t.job).or_default() += 1;
+        }
+        let mut jobs: Vec<&Job> = ctx.ledger.jobs.values().collect();
+        jobs.sort_by_key(|j| (j.spec.urgency, j.at, j.spec.r#ref));
+        for job in jobs {
+            let need = Need::of(&job.spec);
+            let room = team_room.get_mut(job.spec.owner.as_str());
+            let can = room.as_ref().map_or(0, |r| **r / need.cores.0.max(1));
+            let wanted = u64::from(job.remaining()).min(can) as u32;
+            if let Some(r) = room {
+                *r = r.saturating_sub(need.cores.0 * u64::from(wanted));
+            }
+            let run_s = self.run_s(job);
+            let brief = capacity::is_brief(ctx.flavors, &job.spec, run_s);
+            let age_ms = waited_ms(ctx, job) as f64;
+            let gang = job.spec.shape == Shape::Gang;
+            if gang {
+                let cores = Cores(need.cores.0 * u64::from(job.spec.pieces));
+                let (sum, largest) = &mut gangs[usize::from(job.spec.loaners)];
+                // It counts from its arrival for as long as it runs, wherever it is.
+                if age_ms < run_s * 1000.0 {
+                    sum.0 += cores.0;
+                }
+                *largest = cores.max(*largest);
+            }
+            if brief && !gang && age_ms < run_s * 1000.0 {
+                let cores = need.cores.0 * u64::from(job.spec.pieces).min(can);
+                brief_cores.0 += cores;
+                urgent.0 += if job.spec.urgency <= Urgency::High { cores } else { 0 };
+            }
+            let running = held.get(&job.spec.r#ref).copied().unwrap_or(0);
+            if !brief {
+                long.0 += need.cores.0 * u64::from(running);
+            }
+            wants.push(Want {
+                spec: &job.spec,
+                tasks: wanted.saturating_sub(running),
+                running,
+                run_s,
+                brief,
+            });
+        }
+        self.market.note(now, brief_cores, urgent, long);
+        self.market.note_gangs(now, gangs[0], gangs[1]);
+        let free: HashMap<&MachineId, &Room> = rooms.iter().map(|r| (&r.id, r)).collect();
+        let machines: Vec<Held> = fleet
+            .machines
+            .iter()
+            .map(|(id, m)| {
+                let offered = ctx.flavors.get(&m.offer.hull).map(Need::offered).unwrap_or_default();
+                let room = free.get(id);
+                Held {
+                    id: id.clone(),
+                    offer: m.offer.clone(),
+                    booting: !m.up,
+                    age_s: now.since(m.since) as f64 / 1000.0,
+                    free: room.map_or(offered, |r| r.free),
+                    idle_s: now.since(m.busy) as f64 / 1000.0,
+                    kept: self.kept.binary_search(id).is_ok(),
+                    leaving: m.draining.is_some()
+                        || m.failed
+                        || (m.up && room.is_none_or(|r| !r.open)),
+                }
+            })
+            .collect();
+        self.decision = capacity::decide(now, ctx.flavors, &machines, &wants, &self.market);
+        self.market.note_spare(now, self.decision.spare);
+    }
+
+    /// Drains the machines that are to be returned.
+    pub(super) fn drain_retired(&mut self) {
+        let next = PlanSeq(self.seq.0 + 1);
+        for id in &self.decision.retire {
+            if let Some(m) = self.fleet.machines.get_mut(id).filter(|m| m.draining.is_none()) {
+                tracing::info!(machine = %id, "draining an idle machine");
+                m.draining = Some(next);
+            }
+        }
+    }
+
+    /// What to rent now. Asked once per decision, so that nothing is rented twice.
+    pub fn to_rent(&mut self) -> Vec<(Offer, u32)> {
+        std::mem::take(&mut self.decision.rent)
+    }
+
+    /// Forgets what was decided to be rented before the last rentals were known.
+    pub fn decide_anew(&mut self) {
+        if !self.decision.rent.is_empty() {
+            self.decision.rent.clear();
+            self.decided = None;
+        }
+    }
+}
--- a/src/lead/tests.rs
+++ b/src/lead/tests.rs
@@ -1,15 +1,17 @@
 //! Tables of cases for the leader's decisions.
 
+use super::importance::weight;
 use super::*;
+use crate::capacity::Offer;
 use crate::config::tests::EXAMPLE;
 use crate::core::{Core, Moment};
 use crate::ledger::tests::group;
-use crate::ledger::{Accepted, Brought, EpochRecord, LeadRecord, TermRecord};
+use crate::ledger::{self, Accepted, Brought, EpochRecord, LeadRecord, TermRecord};
 use crate::model::{Incarnation, Revision, Session, StoreLease};
 use crate::peer::{MachineView, TaskView};
 use crate::place::tests::flavor;
 use crate::wire::tests::spec;
-use crate::wire::{Change, Item};
+use crate::wire::{self, Change, Item, PieceStage, Urgency};
 
 const LIFE: Incarnation = Incarnation(5);
 
--- /dev/null
+++ b/src/lead/waiting.rs
@@ -0,0 +1,154 @@
+//! The bound on waiting: jobs that have had no task anywhere for long go before others, and machines
+//! are held back for those that fit nowhere.
+
+use rustc_hash::FxHashMap;
+
+use super::filling::Filling;
+use super::{Context, Lead};
+use crate::admit::Demand;
+use crate::ledger::Job;
+use crate::model::JobId;
+use crate::place;
+use crate::place::{Need, Room};
+use crate::wire::Shape;
+
+/// How long a job waits at most before its first tasks go before others.
+const STARVED_MS: u64 = 100_000;
+
+/// The same in a team at its limit, for a job without a task on a machine, whether it has begun or
+/// not. What is granted then runs within a few reports, and so before 90 s are over. Such a team
+/// always has a few cores free between the end of a task and the start of the next one, so others
+/// than the first in line would be left waiting beside them.
+const STARVED_AT_LIMIT_MS: u64 = 60_000;
+
+/// The rank that it has until it has begun.
+pub(super) const STARVED_RANK: u32 = 2;
+
+/// Importance per core that it has at least until then.
+pub(super) const STARVED_WEIGHT: f64 = 1_000.0;
+
+/// Most machines that are held back for such jobs at a time.
+const STARVED_ROOMS: usize = 4;
+
+/// How long a gang that fits nowhere waits before machines are cleared for it.
+const CLEARED_MS: u64 = 33_000;
+
+/// Milliseconds since a job was accepted.
+pub(super) fn waited_ms(ctx: &Context<'_>, job: &Job) -> u64 {
+    ctx.wall.0.saturating_sub(job.at.0)
+}
+
+/// Keeps machines from others in the zone where a gang that fits nowhere can begin first: those
+/// that would hold it once they are empty.
+fn hold_back_for_gang(ctx: &Context<'_>, job: &Job, need: &Need, rooms: &mut [Room]) {
+    let count = job.spec.pieces as usize;
+    let all = vec![true; rooms.len()];
+    let zones: Vec<Option<&str>> = match job.spec.one_zone {
+        true => ctx.settings.params.zones.iter().map(|z| Some(z.as_str())).collect(),
+        false => vec![None],
+    };
+    if zones.iter().any(|z| place::pack(&job.spec, need, rooms, &all, *z, count).is_some()) {
+        return;
+    }
+    let slots = |r: &Room| {
+        let offered = ctx.flavors.get(&*r.hull).map(Need::offered).unwrap_or_default();
+        let may = r.open && place::allowed(&job.spec, &r.hull, &r.zone, r.spot);
+        if may { place::slots(need, &offered) as usize } else { 0 }
+    };
+    // The zone that lacks least now, of those that could hold it at all.
+    let mut best: Option<(usize, Vec<usize>)> = None;
+    for zone in zones {
+        let mut inside: Vec<usize> = (0..rooms.len())
+            .filter(|&i| zone.is_none_or(|z| *z == *rooms[i].zone) && slots(&rooms[i]) > 0)
+            .collect();
+        inside.sort_by_key(|&i| std::cmp::Reverse((rooms[i].free.cores, i)));
+        let (mut could, mut can, mut chosen) = (0, 0, Vec::new());
+        for i in inside {
+            if could >= count {
+                break;
+            }
+            could += slots(&rooms[i]);
+            can += place::slots(need, &rooms[i].free) as usize;
+            chosen.push(i);
+        }
+        if could >= count && best.as_ref().is_none_or(|b| can > b.0) {
+            best = Some((can, chosen));
+        }
+    }
+    for i in best.into_iter().flat_map(|b| b.1) {
+        rooms[i].open = false;
+    }
+}
+
+impl Lead {
+    /// Notes which jobs have nothing on machines or on its way there, and since when.
+    pub(super) fn note_idle(&mut self, ctx: &Context<'_>, counts: &FxHashMap<JobId, (u32, u32)>) {
+        let held = |id: &JobId| counts.get(id).is_some_and(|c| c.0 > 0);
+        self.idle.retain(|id, _| ctx.ledger.jobs.contains_key(id) && !held(id));
+        for id in ctx.ledger.jobs.keys().filter(|id| !held(id)) {
+            self.idle.entry(*id).or_insert(ctx.now);
+        }
+    }
+
+    /// Whether a job has waited long without a task of it being anywhere: since it was accepted, or, in
+    /// a team at its limit, since the last one ended.
+    pub(super) fn starved(&self, ctx: &Context<'_>, job: &Job, held: u32, at_limit: bool) -> bool {
+        let begun = !job.progress.done.is_empty();
+        let waits = if begun { 0 } else { waited_ms(ctx, job) };
+        if held > 0 || !at_limit {
+            return held == 0 && waits > STARVED_MS;
+        }
+        let idle = self.idle.get(&job.spec.r#ref).map_or(0, |at| ctx.now.since(*at));
+        idle.max(waits) > STARVED_AT_LIMIT_MS
+    }
+
+    /// Keeps machines from others that jobs need which have waited long and fit nowhere: else
+    /// small tasks would take every core that a large one waits for.
+    pub(super) fn hold_back(
+        &mut self,
+        ctx: &Context<'_>,
+        demands: &[Demand],
+        counts: &FxHashMap<JobId, (u32, u32)>,
+        filling: &mut Filling,
+    ) {
+        let mut held = 0;
+        for d in demands {
+            let Some(job) = ctx.ledger.jobs.get(&d.job) else { continue };
+            let need = Need::of(&job.spec);
+            let running = counts.get(&d.job).map_or(0, |c| c.0);
+            if job.spec.shape == Shape::Gang {
+                if running == 0 && waited_ms(ctx, job) > CLEARED_MS {
+                    hold_back_for_gang(ctx, job, &need, &mut filling.rooms);
+                }
+                continue;
+            }
+            let fits = |r: &Room| r.takes(&job.spec, &need, None);
+            if !self.starved(ctx, job, running, false) || filling.rooms.iter().any(fits) {
+                continue;
+            }
+            // What is kept for gangs is not kept from work that has waited long.
+            let free = |r: &&mut Room| r.holds(&job.spec, &need, None);
+            if let Some(room) = filling.rooms.iter_mut().find(free) {
+                room.kept = false;
+                self.kept.retain(|id| *id != room.id);
+                continue;
+            }
+            if held >= STARVED_ROOMS {
+                continue;
+            }
+            let could = |r: &Room| {
+                let offered = ctx.flavors.get(&*r.hull).map(Need::offered);
+                r.open
+                    && offered.is_some_and(|o| need.fits(&o))
+                    && place::allowed(&job.spec, &r.hull, &r.zone, r.spot)
+            };
+            let best = (0..filling.rooms.len())
+                .filter(|&i| could(&filling.rooms[i]))
+                .max_by_key(|&i| filling.rooms[i].free.cores);
+            if let Some(i) = best {
+                filling.rooms[i].open = false;
+                held += 1;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/part/announce.rs
@@ -0,0 +1,152 @@
+//! What machines are told or asked straight away, besides the answers to their reports.
+
+use super::machine::{Held, Machine};
+use super::{Announcement, LATEST_KEPT, Part, Surroundings, is_withdrawn, kill};
+use crate::ledger::Ledger;
+use crate::model::{JobId, PlanSeq, Session, Steady, TaskId};
+use crate::wire::{Order, Report};
+
+/// How often a machine is told of a term straight away, and the time before the second try, which
+/// doubles for the next.
+const ANNOUNCEMENTS: u32 = 4;
+
+const ANNOUNCE_AGAIN_MS: u64 = 1_500;
+
+/// Least time between two questions to a machine of which old reports come.
+const DOUBT_AGAIN_MS: u64 = 10_000;
+
+impl Part {
+    /// An old report is a late copy, or its machine was restarted and counts from the start again.
+    /// Only the machine itself can tell.
+    pub(super) fn doubt(&mut self, now: Steady, report: &Report) {
+        let id = &report.host;
+        if self.reborn.contains(id)
+            || self.doubted.get(id).is_some_and(|at| now.since(*at) < DOUBT_AGAIN_MS)
+        {
+            return;
+        }
+        if self.doubted.len() >= LATEST_KEPT {
+            self.doubted.retain(|_, at| now.since(*at) < DOUBT_AGAIN_MS);
+        }
+        self.doubted.insert(id.clone(), now);
+        self.doubts.push((id.clone(), report.session));
+    }
+
+    /// Machines that are to be asked or told something straight away, up to `most`: those that may
+    /// have been restarted, and those of this part that have not shown the term's token, as
+    /// nothing starts on them before, and tasks of earlier terms wait for the proof.
+    pub fn to_announce(
+        &mut self,
+        now: Steady,
+        ledger: &Ledger,
+        may_answer: bool,
+        most: usize,
+    ) -> Vec<Announcement> {
+        let mut out = self.endings(ledger, most);
+        if !may_answer {
+            return out;
+        }
+        while out.len() < most
+            && let Some((machine, session)) = self.doubts.pop()
+        {
+            if let Some(newest) = self.latest.get(&machine) {
+                let (endpoint, doubted) = (newest.endpoint.clone(), Some(newest.order));
+                let (term, orders) = (self.term, Vec::new());
+                out.push(Announcement { machine, endpoint, term, session, doubted, orders });
+            }
+        }
+        if !self.announcing || self.seq == PlanSeq(0) {
+            return out;
+        }
+        let mut open = false;
+        for (id, _) in self.owners.iter().filter(|(_, owner)| **owner == self.me) {
+            if self.machines.get(id).is_some_and(|m| m.settled) {
+                continue;
+            }
+            let newest = self.latest.get(id).map(|n| (n.endpoint.clone(), n.order.0));
+            let known = || ledger.machines.get(id).filter(|m| m.up && m.gone.is_none());
+            let on_record = || known().map(|m| (m.endpoint.as_str().into(), Session(1)));
+            let Some((endpoint, session)) = newest.or_else(on_record) else { continue };
+            let (tries, at) = self.announced.get(id).copied().unwrap_or_default();
+            if endpoint.is_empty() || tries >= ANNOUNCEMENTS {
+                continue;
+            }
+            open = true;
+            let due = tries == 0 || now.since(at) >= ANNOUNCE_AGAIN_MS << (tries - 1);
+            if due && out.len() < most {
+                self.announced.insert(id.clone(), (tries + 1, now));
+                let (machine, term) = (id.clone(), self.term);
+                let (doubted, orders) = (None, Vec::new());
+                out.push(Announcement { machine, endpoint, term, session, doubted, orders });
+            }
+        }
+        self.announcing = open;
+        out
+    }
+
+    /// What machines are to end straight away, up to `most` of them: the next answer to their reports would
+    /// tell them, but a machine may reach nobody, or this node may not answer any more. A kill that is
+    /// late or repeated ends nothing that is wanted: the job is cancelled for good, and what a gang starts
+    /// later has a higher attempt.
+    fn endings(&mut self, ledger: &Ledger, most: usize) -> Vec<Announcement> {
+        let mut out = Vec::new();
+        while out.len() < most
+            && let Some(machine) = self.stopping.pop_first()
+        {
+            let Some(m) = self.machines.get(&machine) else { continue };
+            let order = |t: &TaskId, h: &Held| match is_withdrawn(ledger, t.job) {
+                true => Some(kill(*t, h.attempt)),
+                false => self.stop(*t, h.attempt),
+            };
+            let orders: Vec<Order> = m.tasks.iter().filter_map(|(t, h)| order(t, h)).collect();
+            if orders.is_empty() {
+                continue;
+            }
+            let (endpoint, session, term) = (m.endpoint.clone(), m.session, self.term);
+            out.push(Announcement { machine, endpoint, term, session, doubted: None, orders });
+        }
+        out
+    }
+
+    /// Jobs were cancelled: the machines of this part that have tasks of them are told straight away.
+    pub fn end_withdrawn(&mut self, jobs: &[JobId]) {
+        let has = |m: &Machine| m.tasks.keys().any(|t| jobs.contains(&t.job));
+        let on = self.machines.iter().filter(|(_, m)| has(m)).map(|(id, _)| id.clone());
+        self.stopping.extend(on);
+    }
+
+    /// Takes a machine's answer to an announcement: it shows the token and the machine's tasks as a
+    /// report does. It counts only for a machine that has not settled: none of this term's
+    /// starts can be on its way to it then.
+    pub fn on_announced(&mut self, env: &Surroundings<'_>, asked: &Announcement, report: &Report) {
+        let id = &report.host;
+        if *id != asked.machine {
+            return;
+        }
+        self.note_finished(env.now, env.ledger, report);
+        if asked.doubted.is_some_and(|newest| (report.session, report.sequence) <= newest) {
+            tracing::info!(machine = %id, "was restarted");
+            self.reborn.insert(id.clone());
+            self.news = true;
+            return;
+        }
+        if env.ledger.machine_gone(id)
+            || self.machines.get(id).is_some_and(|m| m.settled)
+            || !self.is_newest(report)
+        {
+            return;
+        }
+        if report.token == self.term && self.owners.get(id) == Some(&self.me) {
+            self.take_state(env, report);
+            // It may report to nobody, and then nobody's answer ends what is not wanted any more.
+            if report.pieces.iter().any(|p| is_withdrawn(env.ledger, p.piece.job)) {
+                self.stopping.insert(id.clone());
+            }
+            // Its session may have begun just now, without any answer: its lease counts from here.
+            self.answered.insert(id.clone(), env.now);
+        } else if let Some(told) = self.announced.get_mut(id) {
+            // Its session was not known; now it is.
+            told.1 = told.1.less(ANNOUNCE_AGAIN_MS << ANNOUNCEMENTS);
+        }
+    }
+}
--- /dev/null
+++ b/src/part/redirect.rs
@@ -0,0 +1,162 @@
+//! Machines of other parts that report here: sent to their owner, or kept alive if they cannot reach it.
+
+use super::{Part, ReportAnswer, Surroundings};
+use crate::config::Pace;
+use crate::model::{MachineId, Session, Steady};
+use crate::wire::{Report, ReportReply};
+
+/// Answers that a machine gets without showing this term's token before it is taken for deaf.
+const DEAF_ANSWERS: u32 = 3;
+
+/// Least time over which it must have got them.
+const DEAF_MS: u64 = 3_500;
+
+/// A machine that is back from its owner before that was refused; others timed out.
+const REFUSED_MS: u64 = 3_500;
+
+/// How often a machine is sent to an owner that refuses it, and how long it waits in between.
+const REDIRECTS: u32 = 3;
+
+const AGAIN_MS: u64 = 1_500;
+
+/// Time for which a lonely node does not send a machine away again.
+pub(super) const SENT_AWAY_MS: u64 = 20_000;
+
+/// When a machine was last sent to its owner.
+#[derive(Clone, Debug)]
+pub(super) struct Redirected {
+    pub(super) at: Steady,
+    pub(super) tries: u32,
+    /// Whether it has reported here since.
+    pub(super) seen: bool,
+}
+
+/// What to do with a machine of another part.
+pub(super) enum Route {
+    /// Send it to its owner.
+    Send,
+    /// Keep it alive until it is sent again.
+    Keep,
+    /// Keep it alive: it cannot reach its owner.
+    Cut,
+}
+
+/// How a machine that has not shown this term's token was answered in it.
+#[derive(Clone, Debug)]
+pub(super) struct Unheeded {
+    pub(super) first: Steady,
+    pub(super) session: Session,
+    pub(super) answers: u32,
+    pub(super) refuse_until: Steady,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct StrayRecord {
+    pub(super) hull: String,
+    pub(super) zone: String,
+    pub(super) spot: bool,
+    /// When it came back from being sent to its owner, which it cannot reach then.
+    pub(super) back: Option<Steady>,
+    pub(super) last: Steady,
+    /// Whether it showed this term's token, which no late copy from before does.
+    pub(super) hears: bool,
+}
+
+impl Part {
+    pub(super) fn go(&self, env: &Surroundings<'_>, node: usize) -> ReportAnswer {
+        let name = env.nodes.get(node).map(|n| n.name.clone());
+        name.map_or(ReportAnswer::Refuse, ReportAnswer::Go)
+    }
+
+    /// Whether a lonely node sends a machine of its own away: not again for a while, as every
+    /// try takes from the worker's lease.
+    pub(super) fn sends_away(&mut self, now: Steady, id: &MachineId) -> bool {
+        if self.sent_away.get(id).is_some_and(|at| now.since(*at) < SENT_AWAY_MS) {
+            return false;
+        }
+        self.sent_away.insert(id.clone(), now);
+        true
+    }
+
+    /// Whether a machine may be taken to hear its answers. One that never shows the token is
+    /// deaf, or somebody repeats old reports of it: it gets no answer for a whole lease, so
+    /// that its tasks are proven gone and no proof waits for it.
+    pub(super) fn heeds(&mut self, env: &Surroundings<'_>, report: &Report) -> bool {
+        if report.token == self.term {
+            self.unheeded.remove(&report.host);
+            return true;
+        }
+        let now = env.now;
+        let fresh =
+            Unheeded { first: now, session: report.session, answers: 0, refuse_until: Steady(0) };
+        let u = self.unheeded.entry(report.host.clone()).or_insert_with(|| fresh.clone());
+        if u.refuse_until > now {
+            return false;
+        }
+        if u.refuse_until > Steady(0) {
+            *u = fresh; // It gets another chance.
+        }
+        let ignored = u.answers >= DEAF_ANSWERS && now.since(u.first) > DEAF_MS;
+        if ignored || (u.answers > 0 && report.session > u.session) {
+            u.refuse_until = now.plus(env.lease_ms + 4_000);
+            tracing::info!(machine = %report.host, "does not hear its answers");
+            return false;
+        }
+        u.answers += 1;
+        true
+    }
+
+    /// What to do with a machine of another part: it is sent to its owner. If it comes back
+    /// late, the owner cannot be reached. If it comes back at once, the owner refuses, as one
+    /// does that has just started, so after an answer here it is sent there again.
+    pub(super) fn route(&mut self, now: Steady, pace: &Pace, id: &MachineId) -> Route {
+        let again_ms = pace.stray_ms + 5_000;
+        let stray = self.strays.get(id);
+        if stray.is_some_and(|s| s.back.is_some() && now.since(s.last) < pace.stray_ms + 2_000) {
+            return Route::Cut;
+        }
+        let Some(r) = self.redirected.get_mut(id).filter(|r| now.since(r.at) < again_ms) else {
+            self.redirected.insert(id.clone(), Redirected { at: now, tries: 1, seen: false });
+            return Route::Send;
+        };
+        let gone_for = now.since(r.at);
+        if (!r.seen && gone_for >= REFUSED_MS) || r.tries >= REDIRECTS {
+            return Route::Cut;
+        }
+        if !std::mem::replace(&mut r.seen, true) || gone_for < AGAIN_MS {
+            return Route::Keep;
+        }
+        *r = Redirected { at: now, tries: r.tries + 1, seen: false };
+        Route::Send
+    }
+
+    /// Keeps a worker alive that this node does not own: no starts, but kills and news.
+    pub(super) fn on_stray_report(
+        &mut self,
+        env: &Surroundings<'_>,
+        report: &Report,
+        cut: bool,
+    ) -> ReportAnswer {
+        let now = env.now;
+        let hears = report.token == self.term;
+        let record = self.strays.entry(report.host.clone()).or_insert_with(|| StrayRecord {
+            hull: report.hull.clone(),
+            zone: report.yard.clone(),
+            spot: report.loaners,
+            back: None,
+            last: now,
+            hears: false,
+        });
+        record.last = now;
+        if cut {
+            record.back.get_or_insert(now);
+        }
+        self.news |= hears && !record.hears;
+        record.hears = hears;
+        self.answered.insert(report.host.clone(), now);
+        ReportAnswer::Take(ReportReply {
+            token: self.term,
+            orders: self.kills(env.ledger, &report.pieces),
+        })
+    }
+}
--- /dev/null
+++ b/src/part/summary.rs
@@ -0,0 +1,111 @@
+//! What the leader is told of the part.
+
+use super::Part;
+use super::machine::Machine;
+use super::redirect::SENT_AWAY_MS;
+use crate::config::Pace;
+use crate::model::{MachineId, Steady};
+use crate::peer::{MachineView, Stray, Summary, TaskView};
+
+/// About how many bytes a summary takes, and each machine, task, image, answer and stray in it.
+const SUMMARY_BYTES: usize = 1_024;
+
+const MACHINE_BYTES: usize = 96;
+
+const TASK_BYTES: usize = 16;
+
+const IMAGE_BYTES: usize = 24;
+
+const ANSWER_BYTES: usize = 16;
+
+const STRAY_BYTES: usize = 64;
+
+pub(super) fn view(id: &MachineId, m: &Machine, now: Steady) -> MachineView {
+    MachineView {
+        id: id.clone(),
+        hull: m.hull.clone(),
+        zone: m.zone.clone(),
+        spot: m.spot,
+        endpoint: m.endpoint.clone(),
+        settled: m.settled,
+        session: m.session,
+        leaving: m.warned,
+        shun_ms: m.shun_until.since(now),
+        tasks: m.tasks.iter().map(|(task, h)| TaskView { task: *task, stage: h.stage }).collect(),
+        images: m.images.clone(),
+    }
+}
+
+impl Part {
+    /// What the leader is told, in about `room` bytes. Machines that do not fit are told of next, and
+    /// the leader takes none of it before all is there.
+    pub fn summary(&mut self, now: Steady, pace: &Pace, room: usize) -> Summary {
+        self.number += 1;
+        let kept_ms = pace.stray_ms + 7_000;
+        self.strays.retain(|_, s| now.since(s.last) < kept_ms);
+        self.redirected.retain(|_, r| now.since(r.at) < kept_ms);
+        self.sent_away.retain(|_, at| now.since(*at) < SENT_AWAY_MS);
+        self.answered.retain(|_, at| now.since(*at) < pace.answers_ms);
+        self.sent.push_back((self.number, now));
+        if self.sent.len() > 64 {
+            self.sent.pop_front();
+        }
+        let (base, since) = self.told.unwrap_or_default();
+        let answered: Vec<(MachineId, u64)> = self
+            .answered
+            .iter()
+            .filter(|(_, at)| base == 0 || **at >= since)
+            .map(|(id, at)| (id.clone(), now.since(*at)))
+            .collect();
+        let strays: Vec<Stray> = self
+            .strays
+            .iter()
+            .filter(|(_, s)| s.hears)
+            .take(room / 2 / STRAY_BYTES)
+            .map(|(id, s)| Stray {
+                id: id.clone(),
+                hull: s.hull.clone(),
+                zone: s.zone.clone(),
+                spot: s.spot,
+                silent_ms: now.since(s.last),
+                since_ms: s.back.map_or(0, |at| now.since(at)),
+            })
+            .collect();
+        let mut used = SUMMARY_BYTES + answered.len() * ANSWER_BYTES + strays.len() * STRAY_BYTES;
+        let mut machines = Vec::new();
+        let mut whole = true;
+        for (id, m) in self.machines.iter_mut().filter(|(_, m)| base == 0 || m.changed > base) {
+            used += MACHINE_BYTES + m.tasks.len() * TASK_BYTES + m.images.len() * IMAGE_BYTES;
+            if used > room && !machines.is_empty() {
+                m.changed = self.number + 1;
+                whole = false;
+            } else {
+                machines.push(view(id, m, now));
+            }
+        }
+        Summary {
+            node: self.me,
+            life: self.life,
+            number: self.number,
+            base,
+            term: self.term,
+            more: !whole,
+            followed: self.seq,
+            echo_ms: self.clock_ms,
+            up_ms: now.0,
+            served_ms: 0,
+            heard_ms: now.since(self.heard),
+            machines,
+            answered,
+            strays,
+            finished: self.finished.iter().map(|(j, f)| (j.0, f.tasks.clone())).collect(),
+            reborn: self.reborn.iter().cloned().collect(),
+            notices: self
+                .machines
+                .iter()
+                .filter_map(|(id, m)| Some((id.clone(), m.leaves?.since(now))))
+                .collect(),
+            failing: self.faults.keys().filter(|j| self.failing(**j)).map(|j| j.0).collect(),
+        }
+    }
+}
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -7,7 +7,7 @@
 use crate::ledger::tests::group;
 use crate::ledger::{self, Accepted, Brought, LeadRecord};
 use crate::model::{Revision, StoreLease, Wall};
-use crate::peer::OwnerNews;
+use crate::peer::{Grant, OwnerNews};
 use crate::place::tests::flavor;
 use crate::wire::tests::spec;
 use crate::wire::{self, Item};
