A controller asks for changes only once it has read the store; bounded debt; completed tasks in plans

A worker's report with a later term made a controller that had not read the store ask for all changes since the beginning, up to 10,000 of them; the answer has no bound and was thrown away. Seen on the way: users' writes took from a controller's budget without waiting until it was 650 changes in debt, so that its member record, election and epochs waited 5 s later; debt is 1.5 s at most now. Plans tell how many tasks have completed where not all is on record yet, as progress is written later than before.

--- a/src/core.rs
+++ b/src/core.rs
@@ -158,6 +158,12 @@
         self.store_ok = true;
     }
 
+    /// The revision after which the replica needs the changes; `None` before the store has been read. Asked
+    /// for changes since the beginning, it sends all that it keeps, without a bound on their size.
+    pub fn changes_from(&self) -> Option<Revision> {
+        self.loaded.then_some(self.ledger.revision)
+    }
+
     /// Takes a watch's answer to a request sent at `sent`; `None` if the replica has to be
     /// read anew.
     pub fn apply(&mut self, changes: &Changes, sent: Steady) -> Option<Brought> {
@@ -518,7 +524,8 @@
     pub fn open_answer(&self, id: JobId) -> Option<wire::JobAnswer> {
         let job = self.ledger.jobs.get(&id)?;
         let standing = self.part.standing(id);
-        let done = job.progress.done.len();
+        // A job is done when the store says so; the count may be ahead of what is on record.
+        let done = job.progress.done.len().max(self.part.completed(id)).min(job.spec.pieces);
         let running = standing.map_or(0, |s| s.running).min(job.spec.pieces - done);
         let stage = match running {
             0 => wire::JobStage::Pending,
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -96,3 +96,56 @@
     assert!(written.contains(&ledger::progress_key(last)), "the job that ends is written at once");
     assert_eq!(written.len() as u64, JOBS + 1, "every job's progress is on record in the end");
 }
+
+#[test]
+fn completed_tasks_are_counted_before_they_are_on_record() {
+    // The progress of jobs that go on is written late where many jobs share the store's budget.
+    // (told by the leader, on record, shown)
+    let cases = [(None, 0, 0), (Some(7), 2, 7), (Some(7), 9, 9), (Some(40), 9, 20)];
+    for (told, recorded, shown) in cases {
+        let mut core = Core::new(Rc::new(Settings::parse(EXAMPLE).unwrap()), Incarnation(5));
+        let record = LeadRecord { node: NodeId(1), life: Incarnation(9), term: Term(5) };
+        let item = |path: &str, v| Item { path: path.into(), v, stamp: Revision(9) };
+        let accepted = ledger::Accepted { spec: spec(1, 20), at: Wall(1) };
+        let done = Ranges::span(0, recorded);
+        let progress = ledger::Progress { end: None, done, gang: None };
+        core.load(
+            &[
+                item(&ledger::job_key(JobId(1)), wire::to_value(&accepted)),
+                item(&ledger::progress_key(JobId(1)), wire::to_value(&progress)),
+                item(ledger::LEAD_KEY, wire::to_value(&record)),
+                item(ledger::TERM_KEY, wire::to_value(&TermRecord { term: Term(5) })),
+            ],
+            Revision(9),
+        );
+        core.follow(
+            Moment { steady: Steady(0), wall: Wall(0) },
+            &Brought { lead: true, ..Brought::default() },
+        );
+        let completed = told.map(|count| (1, count)).into_iter().collect();
+        assert!(core.part.follow(Plan {
+            term: Term(5),
+            life: Incarnation(5),
+            seq: crate::model::PlanSeq(1),
+            clock_ms: 1,
+            heard: 0,
+            owners: crate::peer::OwnerNews::default(),
+            body: Some(crate::peer::PlanBody { completed, ..Default::default() }),
+        }));
+        let answer = core.open_answer(JobId(1)).unwrap();
+        assert_eq!(answer.done, shown, "{told:?} {recorded}");
+        assert_eq!(answer.stage, wire::JobStage::Pending, "{told:?} {recorded}");
+    }
+}
+
+#[test]
+fn changes_are_asked_for_once_the_store_has_been_read() {
+    // Seen on a bench day: a worker's report with a later term reached a controller that had just started, which asked
+    // for all changes since the beginning, 10,000 of them, and ended for memory.
+    let mut core = Core::new(Rc::new(Settings::parse(EXAMPLE).unwrap()), Incarnation(5));
+    assert_eq!(core.changes_from(), None);
+    core.load(&[], Revision(9));
+    assert_eq!(core.changes_from(), Some(Revision(9)));
+    core.loaded = false; // What the store told was too old to go on from.
+    assert_eq!(core.changes_from(), None);
+}
--- a/src/lead/plans.rs
+++ b/src/lead/plans.rs
@@ -5,7 +5,7 @@
 use rustc_hash::FxHashMap;
 
 use super::{Context, Epoch, Granted, Lead};
-use crate::model::{Attempt, JobId, MachineId, NodeId, PlanSeq, Ranges, Session, Steady};
+use crate::model::{Attempt, JobId, NodeId, PlanSeq, Ranges, Steady};
 use crate::peer::{Grant, Plan, PlanBody, Standing, Waits};
 use crate::wire::PieceStage;
 
@@ -31,44 +31,9 @@
             }
             self.granted.insert(task, Granted { at: ctx.now, ..g });
         }
-        let drain: Vec<MachineId> = self
-            .fleet
-            .machines
-            .iter()
-            .filter(|(_, m)| m.draining.is_some())
-            .map(|(id, _)| id.clone())
-            .collect();
-        let lapsed: Vec<(MachineId, Session)> =
-            self.fleet.lapsed.iter().map(|(id, s)| (id.clone(), *s)).collect();
-        let mut slow: Vec<MachineId> =
-            self.speeds.iter().filter(|(_, s)| s.is_slow()).map(|(id, _)| id.clone()).collect();
-        slow.sort();
-        let mut grants = self.grants_by_node();
-        let mut bodies: BTreeMap<NodeId, PlanBody> = BTreeMap::new();
-        for id in self.fleet.nodes.keys() {
-            let NodeGrants { with_room, ahead } = grants.remove(id).unwrap_or_default();
-            let body = PlanBody {
-                grants: with_room,
-                ahead,
-                drain: drain.clone(),
-                slow: slow.clone(),
-                lapsed: lapsed.clone(),
-                standings: vec![],
-                stops: self.stops(),
-                kept: self.kept.clone(),
-            };
-            bodies.insert(*id, body);
-        }
-        let same = |id: &NodeId, b: &PlanBody| {
-            self.bodies.get(id).is_some_and(|o| {
-                o.grants == b.grants
-                    && o.ahead == b.ahead
-                    && o.drain == b.drain
-                    && o.slow == b.slow
-                    && o.lapsed == b.lapsed
-                    && o.stops == b.stops
-                    && o.kept == b.kept
-            })
+        let mut bodies = self.bodies_without_standings();
+        let same = |id: &NodeId, body: &PlanBody| {
+            self.bodies.get(id).is_some_and(|known| known.orders_as(body))
         };
         // A plan that tells nothing new would only be sent around.
         let due = ctx.now.since(self.told_standings) >= STANDINGS_MS;
@@ -79,18 +44,43 @@
         if !news && !due {
             return;
         }
-        let standings = self.standings(ctx);
-        if !news && self.bodies.values().all(|b| b.standings == standings) {
+        let (standings, completed) = (self.standings(ctx), completed(ctx));
+        let told = |b: &PlanBody| b.standings == standings && b.completed == completed;
+        if !news && self.bodies.values().all(told) {
             return;
         }
         self.told_standings = ctx.now;
         for body in bodies.values_mut() {
             body.standings = standings.clone();
+            body.completed = completed.clone();
         }
         self.bodies = bodies;
         self.seq = PlanSeq(self.seq.0 + 1);
     }
 
+    /// What each controller may do now, without how jobs stand.
+    fn bodies_without_standings(&self) -> BTreeMap<NodeId, PlanBody> {
+        let machines = &self.fleet.machines;
+        let draining = machines.iter().filter(|(_, m)| m.draining.is_some());
+        let slow = self.speeds.iter().filter(|(_, s)| s.is_slow());
+        let lapsed = self.fleet.lapsed.iter();
+        let mut common = PlanBody {
+            drain: draining.map(|(id, _)| id.clone()).collect(),
+            slow: slow.map(|(id, _)| id.clone()).collect(),
+            lapsed: lapsed.map(|(id, session)| (id.clone(), *session)).collect(),
+            stops: self.stops(),
+            kept: self.kept.clone(),
+            ..PlanBody::default()
+        };
+        common.slow.sort();
+        let mut grants = self.grants_by_node();
+        let body = |id: &NodeId| {
+            let NodeGrants { with_room, ahead } = grants.remove(id).unwrap_or_default();
+            (*id, PlanBody { grants: with_room, ahead, ..common.clone() })
+        };
+        self.fleet.nodes.keys().map(body).collect()
+    }
+
     /// What each controller is granted: where there is room, and ahead of it, first what was granted first.
     fn grants_by_node(&self) -> BTreeMap<NodeId, NodeGrants> {
         type Alike<'a> = (NodeId, JobId, Option<&'a str>, Option<Attempt>, bool);
@@ -152,3 +142,14 @@
         })
     }
 }
+
+/// Completed tasks of the jobs of which some are not on record yet.
+fn completed(ctx: &Context<'_>) -> Vec<(u64, u32)> {
+    let finished = ctx.finished.iter();
+    let counts = finished.filter_map(|(id, finished)| {
+        let job = ctx.ledger.jobs.get(id)?;
+        let new = finished.tasks.iter().filter(|index| !job.is_done(*index)).count();
+        Some((id.0, job.progress.done.len() + new as u32))
+    });
+    counts.collect()
+}
--- a/src/part.rs
+++ b/src/part.rs
@@ -316,6 +316,11 @@
         self.body.standings.iter().find(|s| s.job == job.0).copied()
     }
 
+    /// How many tasks of a job have completed as the leader last told, if not all of that is on record.
+    pub fn completed(&self, job: JobId) -> u32 {
+        self.body.completed.iter().find(|c| c.0 == job.0).map_or(0, |c| c.1)
+    }
+
     /// Answers a report.
     pub fn on_report(&mut self, env: &Surroundings<'_>, report: &Report) -> ReportAnswer {
         self.heard = env.now;
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -264,6 +264,22 @@
     /// more urgent may go.
     #[serde(default)]
     pub ahead: Vec<Grant>,
+    /// Jobs' numbers and how many of their tasks have completed, where not all of that is on record yet.
+    #[serde(default)]
+    pub completed: Vec<(u64, u32)>,
+}
+
+impl PlanBody {
+    /// Whether both order the same, however jobs stand.
+    pub fn orders_as(&self, other: &PlanBody) -> bool {
+        self.grants == other.grants
+            && self.ahead == other.ahead
+            && self.drain == other.drain
+            && self.slow == other.slow
+            && self.lapsed == other.lapsed
+            && self.stops == other.stops
+            && self.kept == other.kept
+    }
 }
 
 /// A gang that is to be stopped. It can be told any number of times, and late: what
--- a/src/service.rs
+++ b/src/service.rs
@@ -285,7 +285,7 @@
     /// Takes changes, waiting for some for up to `wait`.
     async fn pull(&self, wait: Duration) -> Result<(), StateError> {
         let sent = self.now();
-        let after = self.core.borrow().ledger.revision;
+        let after = self.core.borrow().changes_from().ok_or(StateError::Unknown)?;
         let got = self.store.changes(after, wait).await;
         let brought = {
             let mut core = self.core.borrow_mut();
--- a/src/state.rs
+++ b/src/state.rs
@@ -42,6 +42,14 @@
     No(Vec<String>),
 }
 
+/// Items in a page of the store as it is read whole. What a page holds takes some forty times its bytes while it
+/// is decoded, and a controller that starts reads all pages with little memory.
+const PAGE_ITEMS: usize = 64;
+
+/// Most seconds of its rate that a bucket is in debt. What users wait for takes without waiting, and what
+/// has to wait then, such as an election, must not wait for all of that.
+const MOST_DEBT_S: f64 = 1.5;
+
 /// A bucket of allowances that refills steadily.
 #[derive(Debug)]
 pub struct Bucket {
@@ -66,11 +74,11 @@
         let gone = now.saturating_duration_since(self.at).as_secs_f64();
         self.level = (self.level + gone * self.rate).min(self.burst);
         self.at = now;
-        self.level -= n;
+        self.level = (self.level - n).max(-self.rate * MOST_DEBT_S);
         if self.level >= 0.0 {
             Duration::ZERO
         } else {
-            Duration::from_secs_f64((-self.level / self.rate).min(5.0))
+            Duration::from_secs_f64(-self.level / self.rate)
         }
     }
 }
@@ -174,12 +182,7 @@
 
     /// Reads a page of the keys with a prefix.
     pub async fn page(&self, prefix: &str, after: Option<&str>) -> Result<Items, StateError> {
-        let mut path = format!("/keys?Starts={prefix}&Limit=500");
-        if let Some(after) = after {
-            path.push_str("&After=");
-            path.push_str(after);
-        }
-        Self::body(&self.call("GET", &path, &[]).await?)
+        Self::body(&self.call("GET", &page_path(prefix, after), &[]).await?)
     }
 
     /// Carries out a transaction. Every caller guards it, so that a late or second
@@ -252,5 +255,11 @@
     }
 }
 
+/// The path that asks for a page.
+fn page_path(prefix: &str, after: Option<&str>) -> String {
+    let after = after.map(|key| format!("&After={key}")).unwrap_or_default();
+    format!("/keys?Starts={prefix}&Limit={PAGE_ITEMS}{after}")
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -36,3 +36,32 @@
         assert_eq!(StateClient::checked(given).err(), want, "{text}");
     }
 }
+
+#[test]
+fn what_waits_does_not_wait_for_all_that_users_took() {
+    // Seen on a bench day: users' writes took from a controller's budget without waiting until it was 650 changes
+    // in debt, and when it was to lead, its election and every epoch waited 5 s. (rate, taken at once)
+    for (rate, taken) in [(7.4, 650), (27.0, 400), (0.5, 30)] {
+        let began = Instant::now();
+        let mut bucket = Bucket::new(rate, rate, began);
+        for _ in 0..taken {
+            bucket.take(1.0, began);
+        }
+        let wait = bucket.take(1.0, began);
+        assert!(wait.as_secs_f64() <= MOST_DEBT_S + 0.001, "{rate} {taken}: {wait:?}");
+        let later = began + Duration::from_secs_f64(MOST_DEBT_S + 2.0 / rate);
+        assert_eq!(bucket.take(1.0, later), Duration::ZERO, "{rate} {taken}: it is over then");
+    }
+}
+
+#[test]
+fn a_page_of_the_largest_values_stays_small() {
+    // Seen on a bench day: restarted controllers ended for memory as they read pages of 500 items, most of them short
+    // ranges, each of which takes some 200 bytes while it is decoded.
+    const VALUE_BYTES: usize = 8 * 1024;
+    let path = page_path("j/", Some("j/7"));
+    let limit = path.split('&').find_map(|part| part.strip_prefix("Limit=")).unwrap();
+    assert!(limit.parse::<usize>().unwrap() * VALUE_BYTES <= 512 * 1024, "{path}");
+    assert_eq!(page_path("", None), format!("/keys?Starts=&Limit={limit}"));
+    assert!(path.ends_with("&After=j/7"), "{path}");
+}
--- a/tests/upgrade/main.rs
+++ b/tests/upgrade/main.rs
@@ -116,6 +116,7 @@
             stops: vec![],
             kept: vec![],
             ahead: vec![],
+            completed: vec![],
         }),
     }
 }
