Ids, versions, times and amounts are a package of their own in a workspace

Need: packages under crates/ share these types with the root package, which depends on them. Moves only; the root package has them under the same name as before. Ruled out: generic types in each package, which would lose the newtypes at its border.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,7 +15,6 @@
 pub mod lead;
 pub mod ledger;
 pub mod meter;
-pub mod model;
 pub mod part;
 pub mod peer;
 pub mod place;
@@ -24,3 +23,5 @@
 pub mod state;
 pub mod term;
 pub mod wire;
+
+pub use willowshore_model as model;
