Simulation: leaders that are stopped and go on, changes of leader by phase, 4,000 machines

Need: what a warm standby is to shorten has to be known first, and the operators run 4,000 machines. Change: the leader's process can be stopped and goes on as if nothing had been, its timers before what reached it meanwhile; a trace notes when each phase of a change of leader is over; a fleet of 4,000 machines is played through a leader's crash and a zone cut.

--- a/src/lead.rs
+++ b/src/lead.rs
@@ -329,6 +329,11 @@
         }
     }
 
+    /// The number of the plan that was published last; 0 before the first epoch holds.
+    pub fn published(&self) -> PlanSeq {
+        self.seq
+    }
+
     /// The cloud confirmed that these machines and all on them are gone.
     pub fn machines_gone(&mut self, ids: &[MachineId]) {
         self.fleet.machines_gone(ids, PlanSeq(self.seq.0 + 1));
--- a/tests/sim/main.rs
+++ b/tests/sim/main.rs
@@ -3,17 +3,19 @@
 
 mod check;
 mod store;
+mod takeover;
 mod worker;
 mod world;
 
 use check::{Checker, Event, Told};
+use takeover::PHASES;
 use world::{BRISK, Fault, Rhythm, SLOW, World};
 
 use Fault::{
     Alone, Blink, BlinkAll, CancelAt, CancelAtEnd, CancelNow, CloseLooks, CopiesForNext, CrashAll,
-    CrashLeader, CutNode, CutWorker, CutZones, Deaf, Hang, HangMany, HoldCommands, LateCopies,
-    LateWrites, LoseReplies, LostAnswers, Mute, PeersRefuse, QuickBoots, Reborn, RefuseStore,
-    SlowStore, StoreOutage, Stranded, Taken, Upgrade, WorkerDies,
+    CrashLeader, CutNode, CutWorker, CutZones, Deaf, FreezeLeader, Hang, HangMany, HoldCommands,
+    LateCopies, LateWrites, LoseReplies, LostAnswers, Mute, PeersRefuse, QuickBoots, Reborn,
+    RefuseStore, SlowStore, StoreOutage, Stranded, Taken, Upgrade, WorkerDies,
 };
 
 /// Plays a day of 20 leases and expects that no rule breaks and that all that was asked for ends.
@@ -48,6 +50,21 @@
         ("leader crashes", vec![(21_300, CrashLeader)]),
         ("all crash", vec![(21_300, CrashAll)]),
         ("crash in mid-election", vec![(21_300, CrashLeader), (24_700, CrashAll)]),
+        ("the leader is stopped for a second", vec![(21_300, FreezeLeader(1_000))]),
+        ("the leader goes on just before its lease ends", vec![(21_300, FreezeLeader(2_700))]),
+        ("the leader goes on just after its lease ended", vec![(21_300, FreezeLeader(3_300))]),
+        (
+            "the leader goes on after its successor's first epochs",
+            vec![(21_300, FreezeLeader(8_000))],
+        ),
+        (
+            "two leaders are stopped one after the other",
+            vec![
+                (21_300, FreezeLeader(30_000)),
+                (26_000, FreezeLeader(9_000)),
+                (27_000, Reborn(1)),
+            ],
+        ),
         ("store outage longer than a lease", vec![(20_000, StoreOutage(15_000))]),
         ("all crash in an outage", vec![(20_000, StoreOutage(12_000)), (24_000, CrashAll)]),
         ("the store refuses the leader", vec![(20_000, RefuseStore(20_000))]),
@@ -481,6 +498,43 @@
     }
 }
 
+/// However the leader fails, each phase of the change of leader is seen, and its first decision holds within ten
+/// seconds.
+#[test]
+fn a_change_of_leader_goes_through_its_phases_in_time() {
+    for fault in [CrashLeader, FreezeLeader(20_000), CutNode(20_000, true)] {
+        for seed in 1..=5 {
+            let at = 20_000 + seed * 1_370;
+            let mut world = World::busy(seed, BRISK);
+            world.run(&[(at, fault)], at + 25_000);
+            assert!(world.checker.broken.is_empty(), "{fault:?}: {:?}", world.checker.broken);
+            let phases = world.trace.map(|trace| trace.phases).unwrap_or_default();
+            for (name, time) in PHASES.into_iter().zip(phases.times()) {
+                assert!(time.is_some_and(|ms| ms < 15_000), "{fault:?} {seed}: {name} {time:?}");
+            }
+            assert!(phases.first_epoch.is_some_and(|ms| ms < 10_000), "{fault:?}: {phases:?}");
+        }
+    }
+}
+
+/// The size that the operators run: the leader crashes with all machines in use, and a zone is cut later.
+#[test]
+fn four_thousand_machines_keep_the_rules_and_settle_after_a_takeover() {
+    let faults = [(18_000, CrashLeader), (40_000, CutZones(40_000, false))];
+    let mut world = World::fleet(1, 4_000);
+    world.run(&faults, 200_000);
+    assert!(world.checker.broken.is_empty(), "{:?}", world.checker.broken);
+    let open = world.unfinished();
+    assert!(open.is_empty(), "not finished: {open:?}");
+    let [direct, relayed] = world.largest;
+    assert!(direct <= world::DIRECT_BYTES, "{direct} bytes to a controller");
+    assert!(relayed <= world::RELAY_BYTES, "{relayed} bytes through the store");
+    assert!(world.writes < 8_000, "{} writes", world.writes);
+    // All but a few machines show the next token within two reports.
+    let phases = world.trace.map(|trace| trace.phases).unwrap_or_default();
+    assert!(phases.settled.is_some_and(|ms| ms <= 12_500), "{phases:?}");
+}
+
 #[test]
 fn rules_hold_through_random_failures() {
     // The last ones were found among many: a write that was repeated late put older machines and
--- a/tests/sim/store.rs
+++ b/tests/sim/store.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use willowshore::ledger::TermRecord;
 use willowshore::model::{Revision, StoreLease};
 use willowshore::state::Committed;
 use willowshore::wire::{Change, Changes, Item, News, Txn, Value};
@@ -135,6 +136,13 @@
         self.items.len()
     }
 
+    /// The term on record.
+    pub fn term(&self) -> u64 {
+        let value = self.items.get(willowshore::ledger::TERM_KEY).map(|item| &item.0);
+        let record: Option<TermRecord> = value.and_then(willowshore::wire::from_value);
+        record.map_or(0, |r| r.term.0)
+    }
+
     pub fn has(&self, key: &str) -> bool {
         self.items.contains_key(key)
     }
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -19,6 +19,7 @@
 
 use crate::check::{Checker, Event, Told};
 use crate::store::Store;
+use crate::takeover::{Observed, TakeoverTrace};
 use crate::worker::{Answer, Change, Worker};
 
 mod users;
@@ -72,6 +73,8 @@
 pub enum Fault {
     CrashLeader,
     CrashAll,
+    /// The leader's process is stopped and goes on later as if nothing had been.
+    FreezeLeader(u64),
     StoreOutage(u64),
     /// The store refuses the leader alone.
     RefuseStore(u64),
@@ -137,6 +140,9 @@
     started: u64,
     next: [u64; 4], // lease, sync, summary, epoch
     relaying: u64,
+    /// Until when its process is stopped, and what reached it meanwhile.
+    frozen: Option<u64>,
+    held: Vec<Message>,
 }
 
 impl Node {
@@ -170,6 +176,21 @@
     Ended(usize, Ask),
 }
 
+impl Message {
+    /// The controller that it is for, if it is for one.
+    fn to_node(&self) -> Option<usize> {
+        match self {
+            Message::Report(_, n, _)
+            | Message::Copy(n, _)
+            | Message::Announced(n, ..)
+            | Message::Summary(_, n, _)
+            | Message::Tell(n, _)
+            | Message::Ended(n, _) => Some(*n),
+            Message::Reply(..) | Message::Announce(..) => None,
+        }
+    }
+}
+
 struct Cut {
     from: BTreeSet<Place>,
     to: BTreeSet<Place>,
@@ -242,6 +263,8 @@
     pub latest_save: u64,
     /// How long a gang runs.
     pub gang_run_ms: u64,
+    /// The last change of leader.
+    pub trace: Option<TakeoverTrace>,
 }
 
 fn spec(id: u64, tasks: u32, run_s: f64) -> JobSpec {
@@ -328,6 +351,7 @@
             | Fault::CancelNow(_, ms)
             | Fault::CancelAtEnd(ms)
             | Fault::CloseLooks(ms)
+            | Fault::FreezeLeader(ms)
             | Fault::PeersRefuse(ms) => ms,
             Fault::LateWrites(ms) => ms + 12_000,
             Fault::CopiesForNext(ms) => ms,
@@ -342,6 +366,7 @@
     pub fn scaled(self, by: u64) -> Fault {
         match self {
             Fault::StoreOutage(t) => Fault::StoreOutage(t * by),
+            Fault::FreezeLeader(t) => Fault::FreezeLeader(t * by),
             Fault::RefuseStore(t) => Fault::RefuseStore(t * by),
             Fault::SlowStore(t) => Fault::SlowStore(t * by),
             Fault::LoseReplies(t) => Fault::LoseReplies(t * by),
@@ -508,6 +533,7 @@
             saves: BTreeMap::new(),
             latest_save: 0,
             gang_run_ms: 8_000,
+            trace: None,
         }
     }
 
@@ -717,7 +743,20 @@
 
     fn fail(&mut self, fault: Fault) {
         let now = self.now;
+        let leaders = matches!(
+            fault,
+            Fault::CrashLeader | Fault::FreezeLeader(_) | Fault::CutNode(..) | Fault::Blink
+        );
+        if let Some((_, term)) = self.leads().filter(|_| leaders) {
+            self.trace = Some(TakeoverTrace::new(now, term));
+        }
         match fault {
+            Fault::FreezeLeader(ms) => {
+                let leader = self.leader();
+                if let Ok(node) = &mut self.nodes[leader] {
+                    node.frozen = Some(now + ms);
+                }
+            }
             Fault::CrashLeader => self.crash(self.leader(), BACK_MS),
             Fault::CrashAll => (0..3).for_each(|n| self.crash(n, BACK_MS)),
             Fault::Blink => self.crash(self.leader(), 200),
@@ -929,6 +968,7 @@
         for n in 0..3 {
             self.step_node(n);
         }
+        self.observe_takeover();
         self.users();
         self.close_users();
         self.look_for_waiting();
@@ -999,6 +1039,13 @@
 
     fn deliver(&mut self, message: Message) {
         let now = self.now;
+        if let Some(n) = message.to_node()
+            && let Ok(node) = &mut self.nodes[n]
+            && node.frozen.is_some()
+        {
+            node.held.push(message);
+            return;
+        }
         match message {
             Message::Report(w, n, report) => {
                 let Ok(node) = &mut self.nodes[n] else { return };
@@ -1062,6 +1109,10 @@
             }
             Message::Reply(w, ..) if self.deaf.iter().any(|d| d.0 == w && now < d.1) => {}
             Message::Reply(w, sequence, answer) => {
+                if let (Answer::Take(reply), Some(trace)) = (&answer, &mut self.trace) {
+                    let jobs = &self.jobs;
+                    trace.note_reply(now, reply, |job| jobs.get(&job.0).map(|j| j.urgency));
+                }
                 let changes = self.workers[w].answer(now, sequence, answer);
                 self.see(w, changes);
             }
@@ -1122,7 +1173,17 @@
             let mut core = Core::new(settings, Incarnation(self.lives));
             assert_eq!(core.me, NodeId(n as u8));
             core.set_flavors(&flavors());
-            self.nodes[n] = Ok(Node { core, started: now, next: [now; 4], relaying: 0 });
+            self.nodes[n] = Ok(Node {
+                core,
+                started: now,
+                next: [now; 4],
+                relaying: 0,
+                frozen: None,
+                held: Vec::new(),
+            });
+        }
+        if self.stays_frozen(n) {
+            return;
         }
         self.keep_lease(n);
         self.sync(n);
@@ -1134,6 +1195,44 @@
         self.announce(n);
     }
 
+    /// Whether a controller's process is stopped. When it goes on, its timers come before what has reached it
+    /// meanwhile: an old leader then acts before it can learn that it was replaced.
+    fn stays_frozen(&mut self, n: usize) -> bool {
+        let now = self.now;
+        let Ok(node) = &mut self.nodes[n] else { return false };
+        let Some(until) = node.frozen else { return false };
+        if now < until {
+            return true;
+        }
+        node.frozen = None;
+        node.next = [now; 4];
+        let held = std::mem::take(&mut node.held);
+        self.lead(n);
+        held.into_iter().for_each(|message| self.deliver(message));
+        false
+    }
+
+    /// A controller whose process is there and not stopped.
+    fn awake(&self, n: usize) -> Option<&Node> {
+        self.nodes[n].as_ref().ok().filter(|node| node.frozen.is_none())
+    }
+
+    /// Follows a change of leader.
+    fn observe_takeover(&mut self) {
+        let leader = self.nodes.iter().flatten().filter(|node| node.frozen.is_none());
+        let leader = leader.filter_map(|node| node.core.lead.as_ref()).max_by_key(|l| l.term);
+        let seen = Observed {
+            stored_term: self.store.term(),
+            leader: leader.map(|l| {
+                let published = l.published().0 > 0;
+                (l.term.0, l.fleet.machines.len(), l.fleet.unsettled.len(), published)
+            }),
+        };
+        if let Some(trace) = &mut self.trace {
+            trace.observe(self.now, &seen);
+        }
+    }
+
     fn announce(&mut self, n: usize) {
         let now = self.now;
         let Ok(node) = &mut self.nodes[n] else { return };
@@ -1254,6 +1353,9 @@
         if core.may_stand(moment.steady).is_some()
             && let Some(txn) = core.lead_txn()
         {
+            if let Some(trace) = &mut self.trace {
+                trace.note_stands(now);
+            }
             self.commit(n, &txn);
         }
         let Ok(node) = &mut self.nodes[n] else { return };
@@ -1266,7 +1368,7 @@
         for m in (0..3).filter(|m| *m != n) {
             let reached =
                 self.arrival(Place::Node(n), Place::Node(m)).is_some_and(|at| at < self.now + 100);
-            let Ok(peer) = &self.nodes[m] else { continue };
+            let Some(peer) = self.awake(m) else { continue };
             let lead = peer.core.lead_for_peer(peer.moment(self.now).steady);
             if let (true, Some(lead), Ok(node)) = (reached, lead, &mut self.nodes[n]) {
                 node.core.hear_lead(lead);
@@ -1307,7 +1409,7 @@
     }
 
     fn relay(&mut self, n: usize, leader: usize, summary: Summary) {
-        if !self.reaches_store(n) || !self.reaches_store(leader) {
+        if !self.reaches_store(n) || !self.reaches_store(leader) || self.awake(leader).is_none() {
             return;
         }
         let now = self.now;
@@ -1419,9 +1521,9 @@
         if confirmed {
             self.pull(n);
         }
-        let answer = match &self.nodes[n] {
-            Ok(node) if node.core.ledger.ended.contains_key(&JobId(id)) => Some(true),
-            Ok(node) if node.core.loaded && confirmed => {
+        let answer = match self.awake(n) {
+            Some(node) if node.core.ledger.ended.contains_key(&JobId(id)) => Some(true),
+            Some(node) if node.core.loaded && confirmed => {
                 Some(node.core.ledger.jobs.contains_key(&JobId(id)))
             }
             _ => None,
@@ -1435,9 +1537,9 @@
 
     fn ask(&mut self, n: usize, id: u64) {
         let now = self.now;
-        let Ok(node) = &self.nodes[n] else { return };
+        let Some(node) = self.awake(n) else { return };
         let ledger = &node.core.ledger;
-        if let Some((stage, _)) = ledger.ended.get(&JobId(id)) {
+        if let Some((stage, _)) = ledger.ended.get(&JobId(id)).copied() {
             let of = self.jobs[&id].pieces;
             let done = self.completed.iter().filter(|t| t.job.0 == id).count() as u32;
             self.told.insert(id);
--- a/tests/sim/world/users.rs
+++ b/tests/sim/world/users.rs
@@ -28,7 +28,7 @@
     /// What node `n` answers at once: what nothing can change any more, or a refusal if it does not reach
     /// the store. `None` if it has to look further.
     fn at_once(&mut self, n: usize, job: JobId) -> Option<Option<Told>> {
-        let Ok(node) = &self.nodes[n] else { return Some(None) };
+        let Some(node) = self.awake(n) else { return Some(None) };
         if let Some(answer) = node.core.final_answer(job) {
             return Some(Some(told(answer.stage)));
         }
@@ -45,7 +45,7 @@
             return answer;
         }
         self.pull(n);
-        let core = &self.nodes[n].as_ref().ok()?.core;
+        let core = &self.awake(n)?.core;
         let answer = core.final_answer(job).or_else(|| core.open_answer(job));
         match answer {
             Some(answer) => Some(told(answer.stage)),
