Warm standby: argument for replacing an unheard leader, design note, state machines

Need: after the leader fails, its lease of 3 s passes before anybody notices, and what it had learned is lost.

Ruled out: Option<()> in records, as an encoded Some(()) reads as None (found by the mirror's tests).

--- /dev/null
+++ b/crates/standby/src/detector.rs
@@ -0,0 +1,116 @@
+//! Failure detection by phi accrual: the leader is suspected when its silence is improbable, given how its heartbeats
+//! came before.
+//!
+//! After Hayashibara, Défago, Yared and Katayama, "The phi accrual failure detector" (SRDS 2004). A fixed time-out is
+//! either too short for a loaded site or slow on a quiet one; phi follows the distribution of the intervals that this
+//! controller saw, and two bounds keep a young or odd distribution from doing harm.
+
+use std::collections::VecDeque;
+
+use statrs::distribution::{ContinuousCDF, Normal};
+use willowshore_model::Steady;
+
+use crate::settings::StandbySettings;
+
+/// Least standard deviation of the intervals in milliseconds: timers fire in steps, and a distribution without any
+/// spread would suspect the first late packet.
+const LEAST_DEVIATION_MS: f64 = 60.0;
+/// Intervals that have to be known before they are trusted.
+const LEAST_SAMPLES: usize = 10;
+/// This process was stopped or starved if its own timer came that much late, in milliseconds. Its silence then says
+/// nothing about the leader.
+const OWN_PAUSE_MS: u64 = 400;
+
+/// Suspects the leader by the distribution of its heartbeats.
+#[derive(Clone, Debug)]
+pub struct HeartbeatDetector {
+    min_ms: u64,
+    max_ms: u64,
+    threshold: f64,
+    capacity: usize,
+    intervals: VecDeque<u64>,
+    last: Option<Steady>,
+    ticked: Option<Steady>,
+}
+
+impl HeartbeatDetector {
+    /// A detector that has heard nothing yet.
+    pub fn new(settings: &StandbySettings) -> Self {
+        HeartbeatDetector {
+            min_ms: settings.suspect_after_min_ms,
+            max_ms: settings.suspect_after_max_ms,
+            threshold: settings.phi,
+            capacity: settings.samples,
+            intervals: VecDeque::new(),
+            last: None,
+            ticked: None,
+        }
+    }
+
+    /// The leader answered a request that was sent then. Answers that come out of order count once.
+    pub fn heartbeat(&mut self, sent: Steady) {
+        if let Some(last) = self.last {
+            if sent <= last {
+                return;
+            }
+            self.intervals.push_back(sent.since(last));
+            if self.intervals.len() > self.capacity {
+                self.intervals.pop_front();
+            }
+        }
+        self.last = Some(sent);
+    }
+
+    /// Another leader is to be watched from now on. It gets a whole silence before it can be suspected; the
+    /// distribution stays, as the way to it is much the same.
+    pub fn watch_anew(&mut self, now: Steady) {
+        self.last = Some(now);
+    }
+
+    /// Has to be called regularly. When this process itself was stopped, the silence starts anew.
+    pub fn tick(&mut self, now: Steady) {
+        let late = self.ticked.is_some_and(|before| now.since(before) > OWN_PAUSE_MS);
+        if late && self.last.is_some() {
+            self.last = Some(now);
+        }
+        self.ticked = Some(now);
+    }
+
+    /// Milliseconds since the leader was last known to be alive; `None` if it was never heard.
+    pub fn silence_ms(&self, now: Steady) -> Option<u64> {
+        self.last.map(|last| now.since(last))
+    }
+
+    /// How improbable the present silence is, as the negative logarithm of its probability; 0 while too little is
+    /// known.
+    pub fn phi(&self, now: Steady) -> f64 {
+        let Some(silence) = self.silence_ms(now) else { return 0.0 };
+        if self.intervals.len() < LEAST_SAMPLES {
+            return 0.0;
+        }
+        let (mean, deviation) = self.mean_and_deviation();
+        let Ok(normal) = Normal::new(mean, deviation) else { return 0.0 };
+        let longer = normal.sf(silence as f64);
+        if longer <= f64::MIN_POSITIVE { f64::MAX } else { -longer.log10() }
+    }
+
+    fn mean_and_deviation(&self) -> (f64, f64) {
+        let count = self.intervals.len() as f64;
+        let mean = self.intervals.iter().map(|i| *i as f64).sum::<f64>() / count;
+        let squares = self.intervals.iter().map(|i| (*i as f64 - mean).powi(2)).sum::<f64>();
+        (mean, (squares / count).sqrt().max(LEAST_DEVIATION_MS))
+    }
+
+    /// Whether the leader is to be suspected.
+    pub fn suspects(&self, now: Steady) -> bool {
+        match self.silence_ms(now) {
+            None => false,
+            Some(silence) if silence < self.min_ms => false,
+            Some(silence) if silence >= self.max_ms => true,
+            Some(_) => self.phi(now) >= self.threshold,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/standby/src/lib.rs
@@ -0,0 +1,25 @@
+//! Warm standby: a controller that follows the decisions of the leader and replaces it within seconds.
+//!
+//! The package holds state machines without I/O: each takes events and the time, and returns what is to be done. The
+//! controller's loops carry messages and transactions for them (`willowshore::standby`).
+//!
+//! - [`detector`]: suspects the leader by the distribution of its heartbeats.
+//! - [`succession`]: ranks the controllers that may replace it.
+//! - [`takeover`]: the way from following to leading, with a quorum of controllers that do not hear the leader.
+//! - [`decisions`]: the leader's decisions as typed records, and the state that they add up to.
+//! - [`log`]: the leader's numbered log of them, bounded, with compressed snapshots.
+//! - [`mirror`]: the standby's copy, checked against the leader's digests.
+//! - [`settings`]: the file that enables all of it.
+//! - [`status`]: what operators are shown.
+//!
+//! Nothing here proves anything: a standby leads by the same guarded transaction as any other controller, and what it
+//! mirrored is a hint. The argument is in `docs/safety.md`.
+
+pub mod decisions;
+pub mod detector;
+pub mod log;
+pub mod mirror;
+pub mod settings;
+pub mod status;
+pub mod succession;
+pub mod takeover;
--- /dev/null
+++ b/crates/standby/src/log/tests.rs
@@ -0,0 +1,84 @@
+//! What standbys get of the log.
+
+use super::*;
+use crate::decisions::tests::target;
+
+fn log() -> DecisionLog {
+    let settings =
+        StandbySettings { window_records: 64, batch_records: 16, ..StandbySettings::default() };
+    DecisionLog::new(Term(3), &settings)
+}
+
+fn at(index: u64) -> FollowRequest {
+    FollowRequest { applied: LogPosition { term: Term(3), index }, ..FollowRequest::default() }
+}
+
+#[test]
+fn a_standby_gets_what_follows_its_position_in_bounded_batches() {
+    let mut log = log();
+    let count = log.record(Wall(10), &target(1)) as u64;
+    assert!(count > 16);
+    let batch = log.batch_for(&at(0)).unwrap();
+    assert_eq!((batch.kind, batch.from.index, batch.to.index), (BatchKind::Records, 0, 16));
+    assert_eq!(batch.newest.index, count);
+    let next = log.batch_for(&at(16)).unwrap();
+    assert_eq!(next.to.index, count.min(32));
+    assert_eq!(log.batch_for(&at(count)), None);
+    assert_eq!(log.record(Wall(11), &target(1)), 0, "nothing was decided");
+}
+
+#[test]
+fn the_log_is_bounded_and_who_falls_behind_gets_a_snapshot() {
+    let mut log = log();
+    for n in 0..60 {
+        log.record(Wall(n), &target(n));
+        assert!(log.kept() <= 64);
+    }
+    let batch = log.batch_for(&at(1)).unwrap();
+    assert_eq!(batch.kind, BatchKind::Snapshot { offset: 0, more: false });
+    assert_eq!(batch.to, log.newest());
+    // So does who asks for one, was never told of this term, or names a position that was not given out.
+    let foreign = LogPosition { term: Term(2), index: 5 };
+    let cases = [
+        FollowRequest { snapshot: true, ..at(log.newest().index) },
+        FollowRequest { applied: foreign, ..FollowRequest::default() },
+        at(1_000_000),
+    ];
+    for request in cases {
+        let batch = log.batch_for(&request).unwrap();
+        assert!(matches!(batch.kind, BatchKind::Snapshot { .. }), "{request:?}");
+    }
+}
+
+#[test]
+fn a_large_snapshot_goes_out_in_pieces_that_can_be_read() {
+    let mut log = log();
+    let grants = (0..120_000)
+        .map(|i| (crate::decisions::TaskNumber(i / 1_000, i as u32), willowshore_model::NodeId(1)));
+    let large = DecisionTarget { grants: grants.collect(), ..DecisionTarget::default() };
+    log.record(Wall(1), &large);
+    let mut request = FollowRequest { snapshot: true, ..at(0) };
+    let mut pieces = 0;
+    loop {
+        let batch = log.batch_for(&request).unwrap();
+        pieces += 1;
+        assert!(batch.payload.len() < 700_000);
+        request.received += unpack(&batch.payload).unwrap().len() as u64;
+        match batch.kind {
+            BatchKind::Snapshot { more: true, .. } => {}
+            _ => break,
+        }
+    }
+    assert_eq!(request.received, 120_000);
+    assert!(pieces > 1);
+}
+
+#[test]
+fn malformed_payloads_are_refused_without_setting_memory_aside() {
+    let huge = [0xff, 0xff, 0xff, 0xff, 0, 0];
+    let text = lz4_flex::compress_prepend_size(b"not a list of decisions");
+    let cut = pack(&[Decision::Granted(crate::decisions::TaskNumber(1, 2), None)]);
+    for payload in [&[][..], &[1, 2][..], &huge[..], &text[..], &cut[..cut.len() - 1]] {
+        assert!(unpack(payload).is_none(), "{payload:?}");
+    }
+}
--- /dev/null
+++ b/crates/standby/src/mirror/tests.rs
@@ -0,0 +1,139 @@
+//! A copy is right, or known not to be.
+
+use super::*;
+use crate::decisions::{DecisionTarget, JobNumber, tests::target};
+use crate::log::DecisionLog;
+use crate::settings::StandbySettings;
+
+fn pair() -> (DecisionLog, Mirror) {
+    let settings =
+        StandbySettings { window_records: 64, batch_records: 10, ..StandbySettings::default() };
+    let mut mirror = Mirror::default();
+    mirror.begin_term(Term(3));
+    (DecisionLog::new(Term(3), &settings), mirror)
+}
+
+/// Lets the copy catch up.
+fn follow(log: &mut DecisionLog, mirror: &mut Mirror) {
+    for _ in 0..100 {
+        let Some(batch) = log.batch_for(&mirror.request()) else { return };
+        let _ = mirror.accept(&batch);
+    }
+    panic!("it does not catch up");
+}
+
+#[test]
+fn a_copy_follows_and_says_how_far_it_is_behind() {
+    let (mut log, mut mirror) = pair();
+    log.record(Wall(1_000), &target(1));
+    let batch = log.batch_for(&mirror.request()).unwrap();
+    mirror.accept(&batch).unwrap();
+    assert_eq!(mirror.lag_records(), log.newest().index - 10);
+    assert_eq!(mirror.lag_ms(Wall(1_700)), 700);
+    assert!(!mirror.is_complete(Term(3)));
+    follow(&mut log, &mut mirror);
+    assert!(mirror.is_complete(Term(3)));
+    assert_eq!((mirror.lag_records(), mirror.lag_ms(Wall(9_000))), (0, 0));
+    assert_eq!(mirror.state(), log.state());
+}
+
+#[test]
+fn repeated_and_reordered_batches_change_nothing() {
+    let (mut log, mut mirror) = pair();
+    log.record(Wall(1), &target(1));
+    let first = log.batch_for(&mirror.request()).unwrap();
+    mirror.accept(&first).unwrap();
+    let second = log.batch_for(&mirror.request()).unwrap();
+    mirror.accept(&second).unwrap();
+    let held = mirror.state().clone();
+    for batch in [&first, &second, &first] {
+        mirror.accept(batch).unwrap();
+        assert_eq!(mirror.state(), &held);
+    }
+    assert_eq!(mirror.counts().repeated, 30);
+    follow(&mut log, &mut mirror);
+    assert_eq!(mirror.state(), log.state());
+}
+
+#[test]
+fn gaps_wrong_terms_and_malformed_batches_are_counted_and_mended() {
+    let (mut log, mut mirror) = pair();
+    log.record(Wall(1), &target(1));
+    let first = log.batch_for(&mirror.request()).unwrap();
+    let mut gap = first.clone();
+    (gap.from.index, gap.to.index) = (5, 15);
+    let mut other_term = first.clone();
+    (other_term.from.term, other_term.to.term, other_term.newest.term) =
+        (Term(2), Term(2), Term(2));
+    let mut short = first.clone();
+    short.to.index -= 1;
+    let mut beyond = first.clone();
+    beyond.newest.index = 3;
+    let mut unreadable = first.clone();
+    unreadable.payload.truncate(3);
+    let cases = [
+        (gap, Rejected::Gap(0)),
+        (other_term, Rejected::WrongTerm(Term(2))),
+        (short, Rejected::Malformed),
+        (beyond, Rejected::Malformed),
+        (unreadable, Rejected::Malformed),
+    ];
+    for (batch, why) in cases {
+        assert_eq!(mirror.accept(&batch), Err(why));
+        assert_eq!(mirror.state().len(), 0, "{why}");
+    }
+    let counts = mirror.counts();
+    assert_eq!((counts.gaps, counts.wrong_terms, counts.malformed), (1, 1, 3));
+    follow(&mut log, &mut mirror);
+    assert_eq!(mirror.state(), log.state());
+    assert_eq!(mirror.counts().snapshots, 1);
+}
+
+/// A copy that differs is found with the next batch, is told of with what differs, and is replaced.
+#[test]
+fn a_divergence_is_found_told_and_mended() {
+    let (mut log, mut mirror) = pair();
+    log.record(Wall(1), &target(1));
+    follow(&mut log, &mut mirror);
+    let lost = Decision::Waiting(JobNumber(1), Some(Wall(1)));
+    mirror.state.apply(Decision::Waiting(JobNumber(1), None));
+    let more = DecisionTarget { kept: [].into(), ..target(1) };
+    log.record(Wall(2), &more);
+    let batch = log.batch_for(&mirror.request()).unwrap();
+    assert_eq!(mirror.accept(&batch), Err(Rejected::Divergence));
+    assert!(!mirror.is_complete(Term(3)), "it is not taken for complete");
+    let snapshot = log.batch_for(&mirror.request()).unwrap();
+    assert_eq!(mirror.accept(&snapshot), Ok(vec![lost]));
+    assert!(mirror.is_complete(Term(3)));
+    assert_eq!(mirror.counts().divergences, 1);
+}
+
+/// The state changes between two pieces of a snapshot: what is put together is no state that ever was.
+#[test]
+fn a_snapshot_that_changed_between_its_pieces_is_not_taken() {
+    let (mut log, mut mirror) = pair();
+    log.record(Wall(1), &target(1));
+    let mut first = log.batch_for(&FollowRequest { snapshot: true, ..mirror.request() }).unwrap();
+    first.kind = BatchKind::Snapshot { offset: 0, more: true };
+    mirror.accept(&first).unwrap();
+    log.record(Wall(2), &target(2));
+    let request = mirror.request();
+    assert!(request.snapshot && request.received > 0);
+    let last = log.batch_for(&request).unwrap();
+    assert_eq!(mirror.accept(&last), Err(Rejected::Divergence));
+    follow(&mut log, &mut mirror);
+    assert_eq!(mirror.state(), log.state());
+}
+
+#[test]
+fn a_new_term_begins_with_nothing_and_an_old_one_does_not_come_back() {
+    let (mut log, mut mirror) = pair();
+    log.record(Wall(1), &target(1));
+    follow(&mut log, &mut mirror);
+    mirror.begin_term(Term(2));
+    assert!(mirror.is_complete(Term(3)));
+    mirror.begin_term(Term(4));
+    assert!(mirror.state().is_empty());
+    let late = log.batch_for(&FollowRequest::default()).unwrap();
+    assert_eq!(mirror.accept(&late), Err(Rejected::WrongTerm(Term(3))));
+}
--- /dev/null
+++ b/crates/standby/src/settings.rs
@@ -0,0 +1,140 @@
+//! The settings of the standby, as a file under `deploy/` gives them.
+
+use serde::Deserialize;
+use thiserror::Error;
+
+/// Heartbeats that may be lost before the leader can be suspected.
+const LEAST_HEARTBEATS: u64 = 3;
+/// Least size of the window from which a standby catches up without a snapshot.
+const LEAST_WINDOW: usize = 64;
+
+/// Why the settings of the standby cannot be used.
+#[derive(Debug, Error, PartialEq, Eq)]
+#[error("{field}: {reason}")]
+pub struct SettingsError {
+    /// The field, with its path in the file.
+    pub field: &'static str,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+/// The settings of the standby. A field that is not known is an error, as a misspelt bound would go unnoticed.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct StandbySettings {
+    /// Names of the controllers that may replace the leader; all if there are none.
+    pub controllers: Vec<String>,
+    /// The leader is never suspected before it was silent for that long, in milliseconds.
+    pub suspect_after_min_ms: u64,
+    /// It is always suspected after that long, in milliseconds.
+    pub suspect_after_max_ms: u64,
+    /// In between, it is suspected from this value of phi on: 8 is one false suspicion in 10^8 heartbeats, if
+    /// they come as they did before.
+    pub phi: f64,
+    /// Heartbeats whose intervals are remembered.
+    pub samples: usize,
+    /// How much longer the next controller in rank waits before it asks the others, in milliseconds.
+    pub rank_delay_ms: u64,
+    /// Decisions that the leader keeps for standbys that are behind.
+    pub window_records: usize,
+    /// Most decisions in one message.
+    pub batch_records: usize,
+}
+
+impl Default for StandbySettings {
+    fn default() -> Self {
+        StandbySettings {
+            controllers: Vec::new(),
+            suspect_after_min_ms: 900,
+            suspect_after_max_ms: 2_000,
+            phi: 8.0,
+            samples: 100,
+            rank_delay_ms: 300,
+            window_records: 16_384,
+            batch_records: 2_048,
+        }
+    }
+}
+
+/// What the settings have to fit to.
+#[derive(Clone, Debug)]
+pub struct Site<'a> {
+    /// Names of all controllers of the site.
+    pub controllers: Vec<&'a str>,
+    /// The leader's lease in the state service, in milliseconds: without a standby it is replaced after that.
+    pub leader_lease_ms: u64,
+    /// Longest usual time between two heartbeats, in milliseconds.
+    pub heartbeat_ms: u64,
+}
+
+impl StandbySettings {
+    /// Checks the settings against the site.
+    pub fn check(&self, site: &Site<'_>) -> Result<(), SettingsError> {
+        self.check_controllers(site)?;
+        self.check_bounds(site)?;
+        self.check_log()
+    }
+
+    fn check_controllers(&self, site: &Site<'_>) -> Result<(), SettingsError> {
+        let foreign =
+            self.controllers.iter().find(|name| !site.controllers.contains(&name.as_str()));
+        if let Some(name) = foreign {
+            return error("standby.controllers", format!("{name} is no controller of this site"));
+        }
+        Ok(())
+    }
+
+    fn check_bounds(&self, site: &Site<'_>) -> Result<(), SettingsError> {
+        let least = site.heartbeat_ms * LEAST_HEARTBEATS;
+        if self.suspect_after_min_ms < least {
+            let reason = format!("must be {least} or more, {LEAST_HEARTBEATS} heartbeats");
+            return error("standby.suspect_after_min_ms", reason);
+        }
+        if self.suspect_after_max_ms < self.suspect_after_min_ms {
+            return error(
+                "standby.suspect_after_max_ms",
+                "must not be below suspect_after_min_ms".into(),
+            );
+        }
+        if self.suspect_after_max_ms >= site.leader_lease_ms {
+            let reason = format!(
+                "must be below {}, the leader's lease, after which it is replaced in any case",
+                site.leader_lease_ms
+            );
+            return error("standby.suspect_after_max_ms", reason);
+        }
+        if !(self.phi.is_finite() && self.phi >= 1.0) {
+            return error("standby.phi", "must be a number of 1 or more".into());
+        }
+        if self.samples < 10 {
+            return error("standby.samples", "must be 10 or more".into());
+        }
+        if self.rank_delay_ms < site.heartbeat_ms {
+            let reason = format!("must be {} or more, a heartbeat", site.heartbeat_ms);
+            return error("standby.rank_delay_ms", reason);
+        }
+        Ok(())
+    }
+
+    fn check_log(&self) -> Result<(), SettingsError> {
+        if self.window_records < LEAST_WINDOW {
+            return error("standby.window_records", format!("must be {LEAST_WINDOW} or more"));
+        }
+        if self.batch_records == 0 || self.batch_records > self.window_records {
+            return error("standby.batch_records", "must be between 1 and window_records".into());
+        }
+        Ok(())
+    }
+
+    /// Whether that controller may replace the leader.
+    pub fn allows(&self, controller: &str) -> bool {
+        self.controllers.is_empty() || self.controllers.iter().any(|name| name == controller)
+    }
+}
+
+fn error(field: &'static str, reason: String) -> Result<(), SettingsError> {
+    Err(SettingsError { field, reason })
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/standby/src/status/tests.rs
@@ -0,0 +1,30 @@
+//! What operators read.
+
+use willowshore_model::{Steady, Term};
+
+use super::*;
+use crate::takeover::Moments;
+
+#[test]
+fn a_takeover_is_shown_by_its_phases() {
+    let moments = Moments {
+        suspected: Steady(1_000),
+        fencing: Steady(1_030),
+        fenced: Steady(1_050),
+        caught_up: Steady(1_120),
+        verified: Steady(1_121),
+    };
+    let shown = TakeoverStatus::from(Takeover { term: Term(8), cause: Cause::Suspicion, moments });
+    let times = [shown.agreeing_ms, shown.fencing_ms, shown.catching_up_ms, shown.verifying_ms];
+    assert_eq!((shown.term, times), (8, [30, 20, 70, 1]));
+}
+
+#[test]
+fn durations_are_told_by_percentile() {
+    let mut durations = Durations::default();
+    (1..=100).for_each(|ms| durations.note(ms));
+    durations.note(u64::MAX);
+    assert_eq!(durations.count(), 101);
+    assert_eq!(durations.percentile(50.0), 51);
+    assert!(durations.longest() >= LONGEST_MS);
+}
--- /dev/null
+++ b/crates/standby/src/takeover/tests.rs
@@ -0,0 +1,170 @@
+//! The ways through the state machine, and what must never happen on them.
+
+use super::*;
+
+const LEAST_MS: u64 = 900;
+
+fn machine(controllers: usize) -> TakeoverMachine {
+    let mut m = TakeoverMachine::new(controllers, LEAST_MS, 300);
+    assert_eq!(m.step(Steady(0), Event::ReplicaShows { term: Term(7), mine: false }), None);
+    m
+}
+
+fn tick(suspected: bool, rank: Option<u64>) -> Event {
+    Event::Tick { suspected, rank }
+}
+
+fn answer(node: u8, silence_ms: Option<u64>) -> Event {
+    Event::PeerAnswered(PeerAnswer { node: NodeId(node), silence_ms })
+}
+
+const SUSPECTED: Event = Event::Tick { suspected: true, rank: Some(0) };
+
+#[test]
+fn a_majority_that_does_not_hear_the_leader_fences_it() {
+    let mut m = machine(3);
+    assert_eq!(m.step(Steady(1_000), SUSPECTED), Some(Command::AskPeers(Term(7))));
+    assert_eq!(m.phase(), Phase::Suspecting);
+    assert_eq!(m.step(Steady(1_010), answer(1, Some(950))), Some(Command::Fence(Term(7))));
+    assert_eq!(m.phase(), Phase::Fencing);
+    m.step(Steady(1_030), Event::FenceAnswered(FenceOutcome::Done(Revision(50))));
+    assert_eq!(m.phase(), Phase::CatchingUp);
+    let shows = Event::ReplicaShows { term: Term(8), mine: true };
+    assert_eq!(m.step(Steady(1_060), shows), Some(Command::Verify(Term(8))));
+    m.step(Steady(1_061), Event::Verified);
+    assert_eq!(m.phase(), Phase::Active);
+    let taken = m.last_takeover().unwrap();
+    assert_eq!((taken.term, taken.cause), (Term(8), Cause::Suspicion));
+    assert_eq!(taken.moments.caught_up.since(taken.moments.suspected), 60);
+}
+
+#[test]
+fn the_leader_stays_unless_a_majority_does_not_hear_it() {
+    // (controllers, answers, whether the leader is fenced)
+    let cases: [(usize, Vec<Event>, bool); 8] = [
+        (3, vec![answer(1, Some(LEAST_MS - 1))], false),
+        (3, vec![answer(1, None)], false),
+        (3, vec![], false),
+        (3, vec![answer(1, Some(LEAST_MS))], true),
+        (2, vec![], false),
+        (5, vec![answer(1, Some(2_000))], false),
+        (5, vec![answer(1, Some(2_000)), answer(1, Some(2_000))], false),
+        (5, vec![answer(1, Some(2_000)), answer(2, Some(2_000))], true),
+    ];
+    for (controllers, answers, fenced) in cases {
+        let mut m = machine(controllers);
+        m.step(Steady(1_000), SUSPECTED);
+        let fence = Some(Command::Fence(Term(7)));
+        let found = answers.iter().any(|event| m.step(Steady(1_020), *event) == fence);
+        assert_eq!(found, fenced, "{controllers} {answers:?}");
+    }
+}
+
+#[test]
+fn answers_from_long_ago_do_not_add_up() {
+    let mut m = machine(5);
+    m.step(Steady(1_000), SUSPECTED);
+    assert_eq!(m.step(Steady(1_010), answer(1, Some(2_000))), None);
+    assert_eq!(m.step(Steady(1_700), answer(2, Some(2_000))), None);
+    assert_eq!(m.step(Steady(1_710), answer(1, Some(2_700))), Some(Command::Fence(Term(7))));
+}
+
+#[test]
+fn every_way_back_has_its_reason() {
+    let pause = Event::FenceAnswered(FenceOutcome::Unknown);
+    type Case = (&'static str, Vec<(u64, Event)>, BackReason);
+    let cases: [Case; 7] = [
+        ("answers", vec![(1_100, tick(false, Some(0)))], BackReason::LeaderAnswers),
+        ("heard", vec![(1_950, answer(2, Some(10)))], BackReason::OthersHearIt(NodeId(2))),
+        ("nobody answers", vec![(3_500, SUSPECTED)], BackReason::NoMajority),
+        (
+            "another was faster",
+            vec![(1_100, Event::ReplicaShows { term: Term(8), mine: false })],
+            BackReason::TermTaken(Term(8)),
+        ),
+        (
+            "conflict",
+            vec![
+                (1_100, answer(1, Some(LEAST_MS))),
+                (1_200, Event::FenceAnswered(FenceOutcome::Conflict)),
+            ],
+            BackReason::Conflict,
+        ),
+        (
+            "no answer",
+            vec![(1_100, answer(1, Some(LEAST_MS))), (1_200, pause)],
+            BackReason::StoreUnavailable,
+        ),
+        (
+            "the replica does not follow",
+            vec![
+                (1_100, answer(1, Some(LEAST_MS))),
+                (1_200, Event::FenceAnswered(FenceOutcome::Done(Revision(9)))),
+                (11_200, SUSPECTED),
+            ],
+            BackReason::StoreUnavailable,
+        ),
+    ];
+    for (name, events, reason) in cases {
+        let mut m = machine(3);
+        m.step(Steady(1_000), SUSPECTED);
+        for (at, event) in events {
+            m.step(Steady(at), event);
+        }
+        assert_eq!((m.phase(), m.last_back()), (Phase::Following, Some(reason)), "{name}");
+    }
+}
+
+/// The outcome of fencing may be unknown and it was carried out all the same: the replica then shows it.
+#[test]
+fn a_term_whose_answer_was_lost_is_led_once_the_replica_shows_it() {
+    let mut m = machine(3);
+    m.step(Steady(1_000), SUSPECTED);
+    m.step(Steady(1_010), answer(1, Some(LEAST_MS)));
+    m.step(Steady(2_600), Event::FenceAnswered(FenceOutcome::Unknown));
+    let shows = Event::ReplicaShows { term: Term(8), mine: true };
+    assert_eq!(m.step(Steady(2_700), shows), Some(Command::Verify(Term(8))));
+}
+
+#[test]
+fn the_second_in_rank_asks_later_and_who_may_not_lead_never_does() {
+    let mut m = machine(3);
+    assert_eq!(m.step(Steady(1_000), tick(true, Some(1))), None);
+    assert_eq!(m.step(Steady(1_290), tick(true, Some(1))), None);
+    let asks = Some(Command::AskPeers(Term(7)));
+    assert_eq!(m.step(Steady(1_300), tick(true, Some(1))), asks);
+    assert_eq!(m.step(Steady(1_400), tick(true, Some(1))), None, "asked just now");
+    let mut m = machine(3);
+    assert_eq!(m.step(Steady(1_000), tick(true, None)), None);
+    assert_eq!(m.phase(), Phase::Following);
+}
+
+#[test]
+fn a_leader_that_is_replaced_follows_and_its_own_next_term_changes_nothing() {
+    let mut m = machine(3);
+    assert_eq!(m.step(Steady(1_000), Event::LeaseEnded), Some(Command::Fence(Term(7))));
+    m.step(Steady(1_020), Event::ReplicaShows { term: Term(8), mine: true });
+    m.step(Steady(1_021), Event::Verified);
+    assert_eq!(m.last_takeover().map(|t| t.cause), Some(Cause::LeaseEnded));
+    assert_eq!(m.step(Steady(1_500), Event::ReplicaShows { term: Term(9), mine: true }), None);
+    assert_eq!(m.phase(), Phase::Active);
+    m.step(Steady(2_000), Event::ReplicaShows { term: Term(10), mine: false });
+    assert_eq!(m.last_back(), Some(BackReason::Replaced(Term(10))));
+}
+
+/// What is asked of the store is asked once: a second transaction while the first is under way, or after the term was
+/// taken, would cost another term.
+#[test]
+fn nothing_is_fenced_twice() {
+    let mut m = machine(3);
+    m.step(Steady(1_000), SUSPECTED);
+    m.step(Steady(1_010), answer(1, Some(LEAST_MS)));
+    let events = [SUSPECTED, answer(1, Some(5_000)), Event::LeaseEnded];
+    for event in events {
+        assert_eq!(m.step(Steady(1_300), event), None, "{event:?}");
+    }
+    m.step(Steady(1_400), Event::FenceAnswered(FenceOutcome::Done(Revision(9))));
+    for event in events {
+        assert_eq!(m.step(Steady(1_500), event), None, "{event:?}");
+    }
+}
