A silent leader is asked itself before it is replaced; controllers on loopback as real processes

Change: a suspected leader gets a question of its own with 0.7 s; any answer ends the suspicion, a refused connection or silence lets the majority decide. Plans through the store are heartbeats.

--- a/crates/standby/src/takeover.rs
+++ b/crates/standby/src/takeover.rs
@@ -6,8 +6,9 @@
 //!     +------------+------------+------------+-------------+-----------+
 //! ```
 //!
-//! A suspicion alone changes nothing. The leader is fenced, which means that the next term is taken by a transaction
-//! guarded by the leader's key, only if a majority of all controllers, this one included, does not hear it. So a
+//! A suspicion alone changes nothing. The leader itself is asked once more, with more time than a heartbeat has, as a
+//! loaded leader is slow and replacing it would add to its load. It is fenced, which means that the next term is taken by a transaction
+//! guarded by the leader's key, only if it does not answer and a majority of all controllers, this one included, does not hear it. So a
 //! controller that is cut off from the others never replaces a leader that serves them, and two controllers that do
 //! not hear each other don't replace each other in turn. Where no such majority can be had, the leader's lease in the
 //! state service decides, as it does without a standby.
@@ -120,6 +121,17 @@
     pub silence_ms: Option<u64>,
 }
 
+/// What became of the question to the leader itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeOutcome {
+    /// It answered.
+    Answered,
+    /// Its connection was refused: there is no process, or it has no sockets left.
+    Refused,
+    /// It did not answer in time.
+    Silent,
+}
+
 /// What happens to a standby.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Event {
@@ -132,6 +144,8 @@
     },
     /// Another controller answered.
     PeerAnswered(PeerAnswer),
+    /// The question to the leader itself has an outcome.
+    LeaderProbed(ProbeOutcome),
     /// The leader's key is gone, and this controller takes the next term.
     LeaseEnded,
     /// The transaction that takes the next term has an outcome.
@@ -150,6 +164,8 @@
 /// What is to be done.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Command {
+    /// Ask the leader of this term whether it is there.
+    ProbeLeader(Term),
     /// Ask the other controllers when they heard the leader of this term.
     AskPeers(Term),
     /// Take the term after this one by the guarded transaction.
@@ -197,6 +213,8 @@
     moments: Moments,
     asked: Option<Steady>,
     answers: BTreeMap<NodeId, (u64, Steady)>,
+    /// Whether the leader itself was asked and did not answer.
+    probe_failed: bool,
     paused_until: Steady,
     last_back: Option<BackReason>,
     last_takeover: Option<Takeover>,
@@ -217,6 +235,7 @@
             moments: Moments::default(),
             asked: None,
             answers: BTreeMap::new(),
+            probe_failed: false,
             paused_until: Steady(0),
             last_back: None,
             last_takeover: None,
@@ -248,6 +267,7 @@
         match event {
             Event::Tick { suspected, rank } => self.on_tick(now, suspected, rank),
             Event::PeerAnswered(answer) => self.on_answer(now, answer),
+            Event::LeaderProbed(outcome) => self.on_probed(now, outcome),
             Event::LeaseEnded => self.on_lease_ended(now),
             Event::FenceAnswered(outcome) => {
                 self.on_fence_answered(now, outcome);
@@ -280,7 +300,8 @@
                 if suspected && rank.is_some() && now >= self.paused_until {
                     self.enter(now, Phase::Suspecting);
                     self.moments = Moments { suspected: now, ..Moments::default() };
-                    return self.ask_when_due(now, rank);
+                    self.probe_failed = false;
+                    return Some(Command::ProbeLeader(self.term));
                 }
                 None
             }
@@ -329,9 +350,26 @@
             return None;
         }
         self.answers.insert(answer.node, (silence_ms, now));
+        self.fence_if_agreed(now)
+    }
+
+    fn on_probed(&mut self, now: Steady, outcome: ProbeOutcome) -> Option<Command> {
+        if self.phase != Phase::Suspecting {
+            return None;
+        }
+        if outcome == ProbeOutcome::Answered {
+            self.paused_until = now.plus(PAUSE_MS);
+            self.go_back(now, BackReason::LeaderAnswers);
+            return None;
+        }
+        self.probe_failed = true;
+        self.fence_if_agreed(now)
+    }
+
+    fn fence_if_agreed(&mut self, now: Steady) -> Option<Command> {
         let agree =
             self.answers.values().filter(|(_, at)| now.since(*at) <= ANSWER_COUNTS_MS).count();
-        if (agree + 1) * 2 <= self.controllers {
+        if !self.probe_failed || (agree + 1) * 2 <= self.controllers {
             return None;
         }
         self.cause = Cause::Suspicion;
--- a/src/core/succession.rs
+++ b/src/core/succession.rs
@@ -3,7 +3,9 @@
 use willowshore_standby::settings::StandbySettings;
 use willowshore_standby::status::{Status, VerificationCounts};
 use willowshore_standby::succession::{Candidate, rank_of};
-use willowshore_standby::takeover::{Cause, Command, Event, FenceOutcome, PeerAnswer};
+use willowshore_standby::takeover::{
+    Cause, Command, Event, FenceOutcome, PeerAnswer, ProbeOutcome,
+};
 
 use super::{Core, Moment};
 use crate::ledger::LeadRecord;
@@ -83,6 +85,19 @@
         self.standby.as_ref()?.leader_silence_ms(now, term)
     }
 
+    /// The question to the leader itself has an outcome.
+    pub fn leader_probed(&mut self, now: Steady, outcome: ProbeOutcome) -> Option<Command> {
+        self.standby.as_mut()?.step(now, Event::LeaderProbed(outcome))
+    }
+
+    /// A plan of the leader came through the store. It was alive when it wrote that; what it had decided is not told
+    /// this way.
+    pub fn heard_leader_through_store(&mut self, now: Steady, tell: &Tell) {
+        if let (Some(standby), Tell::Plan(plan)) = (&mut self.standby, tell) {
+            standby.heard_leader(now, plan.term);
+        }
+    }
+
     /// Another controller answered when it heard the leader.
     pub fn peer_answered(&mut self, now: Steady, answer: PeerAnswer) -> Option<Command> {
         self.standby.as_mut()?.step(now, Event::PeerAnswered(answer))
--- a/src/service.rs
+++ b/src/service.rs
@@ -96,7 +96,7 @@
     /// The state service.
     pub store: StateClient,
     cloud: CloudClient,
-    peers: Vec<Client>,
+    peers: Vec<Rc<Client>>,
     wake_lead: Notify,
     wake_part: Notify,
     wake_election: Notify,
@@ -132,7 +132,7 @@
             names: core.nodes.iter().map(|n| n.name.clone()).collect(),
             me: core.me,
             nodes: core.nodes.len(),
-            peers: core.nodes.iter().map(|n| Client::new(n.back, 4 << 20)).collect(),
+            peers: core.nodes.iter().map(|n| Rc::new(Client::new(n.back, 4 << 20))).collect(),
             store: StateClient::new(
                 settings.outside.state,
                 &settings.params.state,
--- a/src/service/leadership.rs
+++ b/src/service/leadership.rs
@@ -8,6 +8,7 @@
 use tracing::{debug, warn};
 
 use super::Service;
+use super::succession::FENCE_AGAIN;
 use crate::peer::{Ask, Tell};
 use crate::state::{Committed, StateError};
 use crate::term::LEASE_MS;
@@ -108,7 +109,11 @@
     /// Takes the next term.
     pub(super) async fn take_lead(&self) -> Result<(), StateError> {
         let txn = self.core.borrow().lead_txn().ok_or(StateError::NoLease)?;
-        let outcome = self.store.commit(&txn).await;
+        let standby = self.core.borrow().standby.is_some();
+        let outcome = match standby {
+            true => self.store.commit_hedged(&txn, FENCE_AGAIN).await,
+            false => self.store.commit(&txn).await,
+        };
         debug!(?outcome, "election");
         self.core.borrow_mut().fence_answered(self.now(), outcome.as_ref().ok());
         outcome?;
--- a/src/service/store_messages.rs
+++ b/src/service/store_messages.rs
@@ -75,6 +75,7 @@
                     self.relaying.borrow_mut().insert(NodeId(from), (self.now(), tell));
                 }
                 Some(Relayed::Tell(tell)) => {
+                    self.core.borrow_mut().heard_leader_through_store(self.now(), &tell);
                     self.core.borrow_mut().take_answer(tell);
                 }
                 None => self.unread(self.name_of(NodeId(from))),
--- a/src/service/succession.rs
+++ b/src/service/succession.rs
@@ -6,18 +6,22 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use tracing::{debug, warn};
-use willowshore_standby::takeover::{Command, PeerAnswer};
+use willowshore_standby::takeover::{Command, PeerAnswer, ProbeOutcome};
 
 use super::Service;
-use crate::http::Response;
+use crate::http::{CallError, Response};
 use crate::model::{NodeId, Term};
-use crate::peer::{Ask, Tell};
+use crate::peer::{self, Ask, Tell};
 use crate::state::Committed;
 
 /// Time between two looks at the leader.
 const WATCH: Duration = Duration::from_millis(100);
 /// How long another controller has to answer when it heard the leader.
 const ASK_LIMIT_MS: u64 = 300;
+/// How long the leader itself has to answer once it is suspected.
+const PROBE_LIMIT: Duration = Duration::from_millis(700);
+/// After that long without an answer, the transaction that takes a term is sent once more.
+pub(super) const FENCE_AGAIN: Duration = Duration::from_millis(150);
 
 impl Service {
     /// Watches the leader while the warm standby is enabled.
@@ -31,6 +35,7 @@
 
     async fn carry_out(self: &Rc<Self>, command: Option<Command>) {
         match command {
+            Some(Command::ProbeLeader(term)) => self.probe_leader(term),
             Some(Command::AskPeers(term)) => self.ask_when_leader_was_heard(term),
             Some(Command::Fence(term)) => self.replace_leader(term).await,
             // The replica is compared where it shows the new term.
@@ -38,6 +43,30 @@
         }
     }
 
+    /// Asks the leader itself, with more time than a summary has.
+    fn probe_leader(self: &Rc<Self>, term: Term) {
+        let leader = self.core.borrow().ledger.lead.as_ref().map(|(record, _)| record.node);
+        let Some(client) = leader.and_then(|node| self.peers.get(usize::from(node.0))) else {
+            return;
+        };
+        let call = client.clone();
+        let service = self.clone();
+        spawn_local(async move {
+            let body = peer::encode(&Ask::LeaderSilence(term));
+            let answer = call.call("POST", "/peer", &body, PROBE_LIMIT).await;
+            let outcome = match answer.map(|answer| peer::decode::<Tell>(&answer.body)) {
+                // The process there is another one than the leader's.
+                Ok(Some(Tell::LeaderSilence(None))) => ProbeOutcome::Refused,
+                // Whatever it says: a version that does not know the question is there as well.
+                Ok(_) => ProbeOutcome::Answered,
+                Err(CallError::Connect) => ProbeOutcome::Refused,
+                Err(_) => ProbeOutcome::Silent,
+            };
+            let command = service.core.borrow_mut().leader_probed(service.now(), outcome);
+            service.carry_out(command).await;
+        });
+    }
+
     /// Asks all others but the leader at once, as one that is gone must not hold up the rest.
     fn ask_when_leader_was_heard(self: &Rc<Self>, term: Term) {
         let leader = self.core.borrow().leader();
--- /dev/null
+++ b/tests/loopback/cloud_server.rs
@@ -0,0 +1,65 @@
+//! The stand-in for the cloud, served by the published protocol.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use willowshore::http::{self, Request, Response, ServerLimits};
+use willowshore::wire::{self, HostList, Hosts, Rental};
+
+use crate::machines::Machines;
+use crate::site::flavors;
+
+/// Most machines that are rented in all.
+const MOST_MACHINES: usize = 80;
+
+/// Serves on a free port and says which.
+pub async fn start(machines: Rc<Machines>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    spawn_local(http::serve(listener, ServerLimits::of(64), move |request| {
+        let machines = machines.clone();
+        async move { answer(&machines, &request).await }
+    }));
+    addr
+}
+
+async fn answer(machines: &Rc<Machines>, request: &Request) -> Response {
+    let path = request.path.split('?').next().unwrap_or("");
+    match (request.method.as_str(), path) {
+        ("GET", "/flavors") => Response::new(200, wire::encode(&flavors())),
+        ("GET", "/machines") => {
+            let after = request.path.split('&').find_map(|f| f.split_once("After=")).map(|f| f.1);
+            let hosts = machines.listed(after.unwrap_or(""));
+            Response::new(200, wire::encode(&HostList { hosts, truncated: false }))
+        }
+        ("POST", "/machines") => rent(machines, &request.body).await,
+        ("POST", "/machines/return") => {
+            let Ok(returned) = wire::decode::<Hosts>(&request.body) else {
+                return Response::empty(400);
+            };
+            returned.hosts.iter().for_each(|id| machines.vanish(id));
+            Response::new(200, wire::encode(&HashMap::<String, u8>::new()))
+        }
+        _ => Response::empty(400),
+    }
+}
+
+async fn rent(machines: &Rc<Machines>, body: &[u8]) -> Response {
+    let Ok(rental) = wire::decode::<Rental>(body) else { return Response::empty(400) };
+    if let Some(hosts) = machines.rented_as(&rental.idempotency_key) {
+        return Response::new(200, wire::encode(&Hosts { hosts }));
+    }
+    let room = MOST_MACHINES.saturating_sub(machines.count());
+    if room == 0 {
+        return Response::new(503, wire::encode(&HashMap::from([("error", "no capacity")])));
+    }
+    let mut hosts = Vec::new();
+    for _ in 0..room.min(rental.number as usize) {
+        hosts.push(machines.add_in(&rental.yard, rental.loaners).await);
+    }
+    machines.note_rental(&rental.idempotency_key, &hosts);
+    Response::new(200, wire::encode(&Hosts { hosts }))
+}
--- /dev/null
+++ b/tests/loopback/store_server.rs
@@ -0,0 +1,130 @@
+//! The stand-in for the state service, served by the published protocol.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+use willowshore::http::{self, Request, Response, ServerLimits};
+use willowshore::model::{Revision, StoreLease};
+use willowshore::state::Committed;
+use willowshore::wire::{self, Items, LeaseName, LeaseTime, Txn, TxnAnswer, Value};
+
+use crate::store::Store;
+
+/// Largest request.
+const BODY_LIMIT: usize = 256 * 1024;
+/// Time between two looks for changes that a watch waits for.
+const LOOK: Duration = Duration::from_millis(10);
+
+struct StoreServer {
+    store: RefCell<Store>,
+    began: Instant,
+}
+
+/// Serves on a free port and says which.
+pub async fn start() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let server = Rc::new(StoreServer { store: RefCell::default(), began: Instant::now() });
+    let limits = ServerLimits { body: BODY_LIMIT, ..ServerLimits::of(200) };
+    spawn_local(http::serve(listener, limits, move |request| {
+        let server = server.clone();
+        async move { server.answer(&request).await }
+    }));
+    addr
+}
+
+fn refusal(status: u16, why: &str) -> Response {
+    Response::new(status, wire::encode(&HashMap::from([("error", why)])))
+}
+
+/// The fields of a path's query.
+fn query(path: &str) -> HashMap<&str, &str> {
+    let fields = path.split_once('?').map_or("", |(_, fields)| fields);
+    fields.split('&').filter_map(|field| field.split_once('=')).collect()
+}
+
+impl StoreServer {
+    async fn answer(&self, request: &Request) -> Response {
+        let now = self.began.elapsed().as_millis() as u64;
+        self.store.borrow_mut().tick(now);
+        let path = request.path.split('?').next().unwrap_or("");
+        match (request.method.as_str(), path) {
+            ("GET", "/keys") => self.page(&query(&request.path)),
+            ("GET", "/changes") => self.changes(&query(&request.path)).await,
+            ("POST", "/multi") => self.commit(&request.body),
+            ("POST", "/leases") => self.grant(now, &request.body),
+            ("POST", _) => self.renew(now, path),
+            ("GET", _) => self.get(path.strip_prefix("/keys/").unwrap_or("")),
+            _ => Response::empty(400),
+        }
+    }
+
+    fn page(&self, query: &HashMap<&str, &str>) -> Response {
+        let prefix = query.get("Starts").copied().unwrap_or("");
+        let after = query.get("After").copied().unwrap_or("");
+        let limit = query.get("Limit").and_then(|l| l.parse().ok()).unwrap_or(1_000);
+        let (items, epoch) = self.store.borrow().all();
+        let mut found =
+            items.into_iter().filter(|i| i.path.starts_with(prefix) && *i.path > *after);
+        let items = found.by_ref().take(limit).collect();
+        let page = Items { items, truncated: found.next().is_some(), epoch };
+        Response::new(200, wire::encode(&page))
+    }
+
+    async fn changes(&self, query: &HashMap<&str, &str>) -> Response {
+        let after = Revision(query.get("After").and_then(|r| r.parse().ok()).unwrap_or(0));
+        let wait = query.get("WaitMs").and_then(|w| w.parse().ok()).unwrap_or(0);
+        let until = Instant::now() + Duration::from_millis(wait);
+        loop {
+            let now = self.began.elapsed().as_millis() as u64;
+            self.store.borrow_mut().tick(now);
+            let changes = self.store.borrow().changes(after);
+            if !changes.news.is_empty() || Instant::now() >= until {
+                return Response::new(200, wire::encode(&changes));
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    fn commit(&self, body: &[u8]) -> Response {
+        let Ok(txn) = wire::decode::<Txn>(body) else { return refusal(400, "malformed") };
+        match self.store.borrow_mut().commit(&txn) {
+            Some(Committed::Yes(epoch)) => {
+                Response::new(200, wire::encode(&TxnAnswer { epoch, failed: Vec::new() }))
+            }
+            Some(Committed::No(failed)) => {
+                Response::new(409, wire::encode(&TxnAnswer { epoch: Revision(0), failed }))
+            }
+            None => refusal(400, "no such lease"),
+        }
+    }
+
+    fn grant(&self, now: u64, body: &[u8]) -> Response {
+        let Ok(time) = wire::decode::<LeaseTime>(body) else { return refusal(400, "malformed") };
+        let tenancy = self.store.borrow_mut().grant(now, time.ttl_ms);
+        Response::new(200, wire::encode(&LeaseName { tenancy }))
+    }
+
+    fn renew(&self, now: u64, path: &str) -> Response {
+        let id = path.strip_prefix("/leases/").and_then(|rest| rest.strip_suffix("/renew"));
+        let Some(id) = id.and_then(|id| id.parse().ok()) else { return Response::empty(400) };
+        match self.store.borrow_mut().renew(now, StoreLease(id)) {
+            true => Response::new(200, wire::encode(&HashMap::<String, Value>::new())),
+            false => Response::empty(404),
+        }
+    }
+
+    fn get(&self, key: &str) -> Response {
+        let (items, epoch) = self.store.borrow().all();
+        match items.into_iter().find(|i| i.path == key) {
+            Some(item) => Response::new(200, wire::encode(&item)),
+            None => Response::new(404, wire::encode(&HashMap::from([("Epoch", epoch)]))),
+        }
+    }
+}
--- a/tests/sim/main.rs
+++ b/tests/sim/main.rs
@@ -2,6 +2,7 @@
 //! workers, in simulated time with seeded randomness. The rules are checked at every step.
 
 mod check;
+mod site;
 mod standby;
 mod store;
 mod takeover;
@@ -9,8 +10,9 @@
 mod world;
 
 use check::{Checker, Event, Told};
+use site::{BRISK, Rhythm, SLOW};
 use takeover::PHASES;
-use world::{BRISK, Fault, Rhythm, SLOW, World};
+use world::{Fault, World};
 
 use Fault::{
     Alone, Blink, BlinkAll, CancelAt, CancelAtEnd, CancelNow, CloseLooks, CopiesForNext, CrashAll,
--- a/tests/sim/report.rs
+++ b/tests/sim/report.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code, missing_docs)]
 
 mod check;
+mod site;
 mod store;
 mod takeover;
 mod worker;
@@ -14,10 +15,11 @@
 use std::time::Instant;
 
 use plotters::prelude::*;
+use site::{BRISK, Rhythm, SLOW};
 use takeover::PHASES;
 use willowshore_standby::settings::StandbySettings;
 use willowshore_standby::status::Durations;
-use world::{BRISK, Fault, Rhythm, SLOW, World};
+use world::{Fault, World};
 
 /// How long the failed leader is frozen or cut off.
 const FAILURE_MS: u64 = 20_000;
--- /dev/null
+++ b/tests/sim/site.rs
@@ -0,0 +1,80 @@
+//! The site that is played: its rhythm, its jobs and its machine types.
+
+use willowshore::model::JobId;
+use willowshore::wire::{Flavor, Flavors, JobSpec, Shape, Urgency};
+
+/// The zones.
+pub const ZONES: [&str; 2] = ["a", "b"];
+
+const SETTINGS: &str = include_str!("../settings.toml");
+
+/// How often workers report, their lease, and the time that a cancellation has.
+#[derive(Clone, Copy, Debug)]
+pub struct Rhythm {
+    pub report_ms: u64,
+    pub lease_ms: u64,
+    pub cancel_ms: u64,
+}
+
+/// Frequent reports and short leases, as small deployments have them.
+pub const BRISK: Rhythm = Rhythm { report_ms: 1_000, lease_ms: 10_000, cancel_ms: 30_000 };
+/// Rare reports and long leases, as large ones have them.
+pub const SLOW: Rhythm = Rhythm { report_ms: 5_000, lease_ms: 26_500, cancel_ms: 46_500 };
+
+impl Rhythm {
+    /// The settings with these times and that limit of the team.
+    pub fn settings(self, team_limit: u64) -> String {
+        let set = |text: String, field: &str, old: &str, ms: u64| {
+            let new = format!("{field} = {:.3}", ms as f64 / 1000.0);
+            text.replacen(&format!("{field} = {old}"), &new, 1)
+        };
+        let text = set(SETTINGS.to_string(), "report_s", "1.0", self.report_ms);
+        let text = set(text, "lease_s", "10.0", self.lease_ms);
+        let text = set(text, "cancel_s", "30.0", self.cancel_ms);
+        text.replacen("cpus_max = 32.0", &format!("cpus_max = {team_limit}.0"), 1)
+    }
+}
+
+/// A job of so many tasks of half a machine, which run for about that long.
+pub fn spec(id: u64, tasks: u32, run_s: f64) -> JobSpec {
+    JobSpec {
+        r#ref: JobId(id),
+        lane: "lane".into(),
+        owner: "red".into(),
+        shape: Shape::Sweep,
+        urgency: if id.is_multiple_of(2) { Urgency::High } else { Urgency::Normal },
+        pieces: tasks,
+        vcpus: 4.0,
+        accelerators: 0.0,
+        mem_gb: 8.0,
+        bundle: format!("img-{}", id % 3).into(),
+        size_gb: 1.0,
+        hulls: None,
+        yard: None,
+        one_zone: false,
+        scatter: id.is_multiple_of(4),
+        loaners: true,
+        guess_s: run_s,
+        bookmark_s: 0.0,
+        stash_s: 0.0,
+        due_s: None,
+    }
+}
+
+/// The machine types.
+pub fn flavors() -> Flavors {
+    Flavors {
+        hulls: vec![Flavor {
+            sku: "small".into(),
+            vcpus: 8.0,
+            accelerators: 0.0,
+            mem_gb: 64.0,
+            local_gb: 50.0,
+            fetch_gb_per_s: 0.5,
+            hourly: 1.0,
+            market_price: 0.3,
+            startup_s: 30.0,
+            yards: ZONES.map(String::from).to_vec(),
+        }],
+    }
+}
