--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -289,7 +289,12 @@
     let mut rent: BTreeMap<Offer, u32> = BTreeMap::new();
     let any = |o: &Offer| market.open(o, now);
     let spot_only = |o: &Offer| o.spot && market.open(o, now);
-    let per_zone = |zone: &str| held.iter().filter(|h| h.offer.zone == zone).count();
+    // Counted once: each machine that is rented asks for it.
+    let mut zones: HashMap<&str, usize> = HashMap::new();
+    for h in held {
+        *zones.entry(&h.offer.zone).or_default() += 1;
+    }
+    let per_zone = |zone: &str| zones.get(zone).copied().unwrap_or(0);
     let queues = queues(flavors, held, wants);
     // Gangs first: what they need is whole, and nothing else fits where it has to be.
     for want in wants.iter().filter(|w| w.spec.shape == Shape::Gang && w.tasks > 0) {
--- a/src/lead/filling.rs
+++ b/src/lead/filling.rs
@@ -2,6 +2,7 @@
 //! that come of it.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 
 use rustc_hash::FxHashMap;
 
@@ -127,6 +128,21 @@
     }
 }
 
+/// Where the rooms of each controller's part are. They come part by part. Looked up for each job anew, the owners of
+/// all rooms took most of an epoch at 4,000 machines.
+fn parts_of(fleet: &Fleet, rooms: &[Room]) -> BTreeMap<NodeId, Range<usize>> {
+    let mut parts: BTreeMap<NodeId, Range<usize>> = BTreeMap::new();
+    for (at, room) in rooms.iter().enumerate() {
+        let Some((owner, _)) = fleet.owners.get(&room.id) else { continue };
+        let part = parts.entry(*owner).or_insert(at..at);
+        // What is behind a gap is not taken for this part's.
+        if part.end == at {
+            part.end = at + 1;
+        }
+    }
+    parts
+}
+
 impl Lead {
     /// Machines as placement sees them.
     pub(super) fn rooms(&self, ctx: &Context<'_>, fleet: &Fleet) -> Vec<Room> {
@@ -146,13 +162,13 @@
         rooms: &mut [Room],
         turnover: &mut [Turnover],
     ) {
-        let owner = |r: &Room| fleet.owners.get(&r.id).map(|o| o.0);
         type Alike<'a> = (NodeId, JobId, Option<&'a str>, Option<Attempt>, bool);
         let mut under_way: BTreeMap<Alike<'_>, usize> = BTreeMap::new();
         for (t, g) in self.granted.iter().filter(|(t, _)| !on.contains_key(t)) {
             let alike = (g.node, t.job, g.zone.as_deref(), g.attempt, g.ahead);
             *under_way.entry(alike).or_default() += 1;
         }
+        let parts = parts_of(fleet, rooms);
         for ((node, job, zone, attempt, ahead), count) in under_way {
             let Some(job) = ctx.ledger.jobs.get(&job) else { continue };
             if ahead {
@@ -160,10 +176,8 @@
                 take_places(turnover, &job.spec, &need, Some(node), count);
                 continue;
             }
-            // Rooms come part by part.
-            let first = rooms.iter().position(|r| owner(r) == Some(node)).unwrap_or(rooms.len());
-            let len = rooms[first..].iter().take_while(|r| owner(r) == Some(node)).count();
-            let part = &mut rooms[first..first + len];
+            let part = parts.get(&node).and_then(|part| rooms.get_mut(part.clone()));
+            let part = part.unwrap_or_default();
             let need = Need::of(&job.spec);
             if attempt.is_some() {
                 place::pack_in(&job.spec, &need, part, zone, count);
