--- a/tests/sim/main.rs
+++ b/tests/sim/main.rs
@@ -325,7 +325,7 @@
 fn rules_hold_when_random_troubles_meet() {
     for seed in 0..24 {
         for rhythm in [BRISK, SLOW] {
-            let faults = world::random_meetings(seed, rhythm);
+            let faults = world::faults::random_meetings(seed, rhythm);
             let name = format!("meeting {faults:?}");
             let world = World::busy(seed, rhythm);
             play_for(rhythm.lease_ms * 30, world, &name, seed, rhythm, &faults);
@@ -544,7 +544,7 @@
     // grants back, and a restarted machine brought a new term every 15 s.
     for seed in (100..140).chain([1144, 1768, 12_606, 14_641]) {
         for rhythm in [BRISK, SLOW] {
-            let faults = world::random_faults(seed, rhythm);
+            let faults = world::faults::random_faults(seed, rhythm);
             play(&format!("random {faults:?}"), seed, rhythm, &faults);
         }
     }
@@ -577,7 +577,7 @@
 fn gangs_keep_the_rules_and_end_through_random_failures() {
     for seed in 200..240 {
         for rhythm in [BRISK, SLOW] {
-            let mut faults = world::random_faults(seed, rhythm);
+            let mut faults = world::faults::random_faults(seed, rhythm);
             let taken = (
                 5_000 + seed * 1_237 % 60_000,
                 Taken(seed as usize % 8, 4_000 + seed % 12 * 1_000),
@@ -596,7 +596,7 @@
     // they did not count for the team's limit after a takeover.
     for seed in (300..330).chain([3803]) {
         for rhythm in [BRISK, SLOW] {
-            let mut faults = world::random_faults(seed, rhythm);
+            let mut faults = world::faults::random_faults(seed, rhythm);
             let roll = [(9_000, Upgrade(2)), (16_000, Upgrade(0)), (23_000, Upgrade(1))];
             faults.extend(roll);
             faults.sort_by_key(|f| f.0);
--- /dev/null
+++ b/tests/sim/world/controllers.rs
@@ -0,0 +1,343 @@
+//! The loops of a controller, around the same `Core` that the service drives.
+
+use super::*;
+
+impl World {
+    pub(super) fn step_node(&mut self, n: usize) {
+        let now = self.now;
+        if let Err(back) = self.nodes[n] {
+            if now < back {
+                return;
+            }
+            self.lives += 1;
+            let mut text = self.rhythm.settings(self.team_limit);
+            if n > 0 {
+                // Each node sees itself first; the addresses do not matter here.
+                let (me, site) = (format!("host-{n}"), ZONES[n % 2]);
+                text = text.replacen(&format!("\"{me}\""), "\"host-x\"", 1);
+                text = text.replacen("\"host-0\"", &format!("\"{me}\""), 1);
+                text = text.replacen("\"host-x\"", "\"host-0\"", 1);
+                text = text.replacen("site = \"a\"", &format!("site = \"{site}\""), 1);
+                if n == 1 {
+                    text = text.replacen("\"host-0\"\nsite = \"b\"", "\"host-0\"\nsite = \"a\"", 1);
+                }
+            }
+            if let Some((bytes, ops)) = self.next_limits.filter(|_| !self.old[n]) {
+                let kb = bytes as f64 / 1024.0;
+                let next = format!("[params.state.next]\nvalue_kb = {kb:.1}\ntxn_ops = {ops}\n");
+                text += &next;
+            }
+            let settings = Rc::new(Settings::parse(&text).unwrap());
+            let mut core = Core::new(settings, Incarnation(self.lives));
+            assert_eq!(core.me, NodeId(n as u8));
+            core.set_flavors(&flavors());
+            if let Some(standby) = self.standby.clone().filter(|_| !self.old[n]) {
+                core.enable_standby(standby);
+            }
+            self.nodes[n] = Ok(Node {
+                core,
+                started: now,
+                next: [now; 4],
+                relaying: 0,
+                frozen: None,
+                held: Vec::new(),
+            });
+        }
+        if self.stays_frozen(n) {
+            return;
+        }
+        self.keep_lease(n);
+        self.sync(n);
+        if now.is_multiple_of(500) && !self.reaches_store(n) {
+            self.ask_who_leads(n);
+        }
+        self.summarize(n);
+        self.watch_leader(n);
+        self.lead(n);
+        self.announce(n);
+    }
+
+    /// Whether a controller's process is stopped. When it goes on, its timers come before what has reached it
+    /// meanwhile: an old leader then acts before it can learn that it was replaced.
+    pub(super) fn stays_frozen(&mut self, n: usize) -> bool {
+        let now = self.now;
+        let Ok(node) = &mut self.nodes[n] else { return false };
+        let Some(until) = node.frozen else { return false };
+        if now < until {
+            return true;
+        }
+        node.frozen = None;
+        node.next = [now; 4];
+        let held = std::mem::take(&mut node.held);
+        // The loops of the service go on in any order.
+        self.return_machines(n);
+        self.lead(n);
+        held.into_iter().for_each(|message| self.deliver(message));
+        false
+    }
+
+    pub(super) fn announce(&mut self, n: usize) {
+        let now = self.now;
+        let Ok(node) = &mut self.nodes[n] else { return };
+        let steady = node.moment(now).steady;
+        for a in node.core.to_announce(steady, 8) {
+            if let Ok(w) = a.endpoint.parse() {
+                let message = Message::Announce(n, w, a, now);
+                self.send(Place::Node(n), Place::Worker(w), message);
+            }
+        }
+    }
+
+    pub(super) fn due(&mut self, n: usize, which: usize, every: u64) -> bool {
+        let Ok(node) = &mut self.nodes[n] else { return false };
+        if self.now < node.next[which] {
+            return false;
+        }
+        node.next[which] = self.now + every;
+        true
+    }
+
+    /// Commits for a node: `None` if it learns nothing of the outcome.
+    pub(super) fn commit(&mut self, n: usize, txn: &Txn) -> Option<Committed> {
+        self.writes += txn.apply.len();
+        if !self.reaches_store(n) {
+            return None;
+        }
+        if self.now < self.late_writes_until && self.rng.random_bool(0.33) {
+            self.late.push((self.now + self.rng.random_range(2_000..12_000), txn.clone()));
+            return None;
+        }
+        if self.now < self.lost_answers_until && self.rng.random_bool(0.33) {
+            self.store.commit(txn);
+            return None;
+        }
+        if self.now < self.slow_until {
+            match self.rng.random_range(0..10) {
+                0 => {
+                    self.late.push((self.now + self.rng.random_range(100..6_000), txn.clone()));
+                    return None;
+                }
+                1 => {
+                    // Carried out, answer lost, and carried out once more later.
+                    self.store.commit(txn);
+                    self.late.push((self.now + 1_000, txn.clone()));
+                    return None;
+                }
+                _ => {}
+            }
+        }
+        self.store.commit(txn)
+    }
+
+    pub(super) fn keep_lease(&mut self, n: usize) {
+        if !self.due(n, 0, 700) || !self.reaches_store(n) {
+            return;
+        }
+        let now = self.now;
+        let Ok(node) = &mut self.nodes[n] else { return };
+        let sent = node.moment(now).steady;
+        if !node.core.loaded {
+            return;
+        }
+        if let Some(lease) = node.core.rights.lease {
+            if self.store.renew(now, lease) {
+                node.core.rights.confirm_renewal(sent);
+            } else {
+                node.core.rights.lose_lease();
+            }
+            return;
+        }
+        let lease = self.store.grant(now, LEASE_MS);
+        let mut txn = node.core.member_txn(lease);
+        if self.old[n] {
+            txn.apply.iter_mut().for_each(forget_what_is_new);
+        }
+        let done = self.commit(n, &txn);
+        if let (Some(Committed::Yes(_)), Ok(node)) = (done, &mut self.nodes[n]) {
+            node.core.rights.lease = Some(lease);
+            node.core.rights.confirm_renewal(sent);
+        }
+    }
+
+    pub(super) fn sync(&mut self, n: usize) {
+        if self.due(n, 1, 100) {
+            self.pull(n);
+        }
+    }
+
+    pub(super) fn pull(&mut self, n: usize) {
+        if !self.reaches_store(n) {
+            return;
+        }
+        let now = self.now;
+        let Ok(node) = &mut self.nodes[n] else { return };
+        let moment = node.moment(now);
+        let core = &mut node.core;
+        if !core.loaded {
+            let (items, revision) = self.store.all();
+            core.load(&items, revision);
+            let all = willowshore::ledger::Brought { lead: true, ..Default::default() };
+            core.follow(moment, &all);
+        }
+        let changes = self.store.changes(core.ledger.revision);
+        if let Some(brought) = core.apply(&changes, moment.steady) {
+            core.follow(moment, &brought);
+        }
+        if core.may_stand(moment.steady).is_some()
+            && let Some(txn) = core.lead_txn()
+        {
+            if let Some(trace) = &mut self.trace {
+                trace.note_stands(now);
+            }
+            core.lease_of_leader_ended(moment.steady);
+            self.take_term(n, &txn);
+        }
+        let Ok(node) = &mut self.nodes[n] else { return };
+        if let Some(txn) = node.core.finished_txn(moment.steady) {
+            self.commit(n, &txn);
+        }
+    }
+
+    pub(super) fn ask_who_leads(&mut self, n: usize) {
+        for m in (0..3).filter(|m| *m != n) {
+            let reached =
+                self.arrival(Place::Node(n), Place::Node(m)).is_some_and(|at| at < self.now + 100);
+            let Some(peer) = self.awake(m) else { continue };
+            let lead = peer.core.lead_for_peer(peer.moment(self.now).steady);
+            if let (true, Some(lead), Ok(node)) = (reached, lead, &mut self.nodes[n]) {
+                node.core.hear_lead(lead);
+            }
+        }
+    }
+
+    pub(super) fn summarize(&mut self, n: usize) {
+        if !self.due(n, 2, 200) {
+            return;
+        }
+        let now = self.now;
+        let Ok(node) = &mut self.nodes[n] else { return };
+        let steady = node.moment(now).steady;
+        let Some(leader) = node.core.leader().map(|l| usize::from(l.0)) else {
+            return;
+        };
+        if leader == n {
+            let summary = node.core.summary(steady, usize::MAX);
+            let (tell, _) = node.core.take_summary(steady, summary);
+            node.core.take_answer(tell);
+            return;
+        }
+        // Peers that cannot reach each other go through the store, which takes longer.
+        let arrives = self.arrival(Place::Node(n), Place::Node(leader));
+        let direct = arrives.is_some_and(|at| at < now + 500);
+        let room = if direct { DIRECT_BYTES } else { RELAY_BYTES };
+        let Ok(node) = &mut self.nodes[n] else { return };
+        let summary = node.core.summary(steady, room);
+        let size = &mut self.largest[usize::from(!direct)];
+        *size = (*size).max(peer::encode(&summary).len());
+        if direct {
+            let message = Message::Summary(n, leader, Box::new(summary), steady);
+            self.send(Place::Node(n), Place::Node(leader), message);
+        } else {
+            self.relay(n, leader, summary);
+        }
+    }
+
+    pub(super) fn relay(&mut self, n: usize, leader: usize, summary: Summary) {
+        if !self.reaches_store(n) || !self.reaches_store(leader) || self.awake(leader).is_none() {
+            return;
+        }
+        let now = self.now;
+        if let Ok(node) = &mut self.nodes[n] {
+            if now < node.relaying {
+                return;
+            }
+            node.relaying = now + 600;
+        }
+        let Ok(lead) = &mut self.nodes[leader] else { return };
+        let steady = lead.moment(now).steady;
+        let (tell, _) = lead.core.take_summary(steady, summary);
+        self.sent += 1;
+        self.messages.insert((now + 600, self.sent), Message::Tell(n, tell, None));
+    }
+
+    pub(super) fn lead(&mut self, n: usize) {
+        if !self.due(n, 3, 200) {
+            return;
+        }
+        let now = self.now;
+        let Ok(node) = &mut self.nodes[n] else { return };
+        let moment = node.moment(now);
+        let began = Instant::now();
+        let Some((epoch, term)) = node.core.epoch(moment) else { return };
+        self.epochs.0 += 1;
+        self.epochs.1 += began.elapsed();
+        if node.core.lead.as_ref().is_some_and(|l| l.renew_term.is_some()) {
+            if let Some(txn) = node.core.lead_txn() {
+                self.commit(n, &txn);
+            }
+            self.pull(n);
+            return;
+        }
+        if self.crash_in_epoch == Some(false) && epoch.txn.is_some() {
+            self.crash_in_epoch = None;
+            return self.crash(n, BACK_MS);
+        }
+        let durable = match &epoch.txn {
+            Some(txn) => match self.commit(n, &txn.clone()) {
+                Some(Committed::Yes(stamp)) => Some((txn.clone(), stamp)),
+                _ => return self.pull(n),
+            },
+            None => None,
+        };
+        if durable.is_some() && self.crash_in_epoch.take_if(|written| *written).is_some() {
+            return self.crash(n, BACK_MS);
+        }
+        let Ok(node) = &mut self.nodes[n] else { return };
+        if let Some((txn, stamp)) = durable {
+            let brought = node.core.apply_own(&txn, stamp);
+            node.core.follow(moment, &brought);
+        }
+        let began = Instant::now();
+        node.core.publish(moment, epoch, term);
+        self.epochs.1 += began.elapsed();
+        self.return_machines(n);
+    }
+
+    /// The leader returns machines to the cloud; what was returned is replaced, so that the day can end.
+    pub(super) fn return_machines(&mut self, n: usize) {
+        let now = self.now;
+        let Ok(node) = &mut self.nodes[n] else { return };
+        let moment = node.moment(now);
+        if !node.core.rights.may_lead(moment.steady) {
+            return;
+        }
+        let gone =
+            node.core.with_lead(moment, |lead, ctx| lead.fleet.to_return(ctx)).unwrap_or_default();
+        if !gone.is_empty() && !self.still_leads(n) {
+            return;
+        }
+        for id in &gone {
+            if let Some(w) = (0..self.workers.len()).find(|w| self.workers[*w].name() == *id) {
+                let changes = self.workers[w].vanish();
+                self.see(w, changes);
+            }
+        }
+        let mut rented = Vec::new();
+        for _ in &gone {
+            let id = self.workers.len();
+            let mut worker = Worker::new(id, ZONES[id % 2], now + BOOT_MS, self.rhythm);
+            worker.hung_until = now + BOOT_MS;
+            rented.push((worker.name(), worker.zone));
+            self.workers.push(worker);
+        }
+        if let Ok(node) = &mut self.nodes[n]
+            && let Some(lead) = &mut node.core.lead
+        {
+            lead.machines_gone(&gone);
+            for (id, zone) in rented {
+                let offer = Offer { hull: "small".into(), zone: zone.into(), spot: false };
+                lead.fleet.rented(moment.steady, &[id], &offer);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/sim/world/succession.rs
@@ -0,0 +1,137 @@
+//! The loop of the warm standby, and what is seen of changes of leader.
+
+use super::*;
+
+impl World {
+    /// Takes the next term by that transaction.
+    pub(super) fn take_term(&mut self, n: usize, txn: &Txn) {
+        let outcome = self.commit(n, txn);
+        let now = self.now;
+        if matches!(outcome, Some(Committed::Yes(_))) && std::mem::take(&mut self.crash_successor) {
+            return self.crash(n, BACK_MS);
+        }
+        if let Ok(node) = &mut self.nodes[n] {
+            let steady = node.moment(now).steady;
+            node.core.fence_answered(steady, outcome.as_ref());
+        }
+    }
+
+    /// The loop of the warm standby.
+    pub(super) fn watch_leader(&mut self, n: usize) {
+        let now = self.now;
+        if !now.is_multiple_of(100) {
+            return;
+        }
+        let Ok(node) = &mut self.nodes[n] else { return };
+        let steady = node.moment(now).steady;
+        match node.core.standby_tick(steady) {
+            Some(Command::ProbeLeader(_)) => self.probe_leader(n),
+            Some(Command::AskPeers(term)) => self.ask_when_leader_was_heard(n, term),
+            Some(Command::Fence(_)) => self.replace_leader(n),
+            Some(Command::Verify(_)) | None => {}
+        }
+    }
+
+    /// Asks the leader itself. A process that is gone refuses at once; one that is stopped or cut off says nothing.
+    pub(super) fn probe_leader(&mut self, n: usize) {
+        let now = self.now;
+        let leader = self.nodes[n].as_ref().ok().and_then(|node| node.core.leader());
+        let Some(leader) = leader.map(|l| usize::from(l.0)) else { return };
+        let ways =
+            [(n, leader), (leader, n)].map(|(a, b)| self.arrival(Place::Node(a), Place::Node(b)));
+        let reached = ways.iter().all(|at| at.is_some_and(|at| at < now + PROBE_MS));
+        let outcome = match (&self.nodes[leader], reached) {
+            (Ok(node), true) if node.frozen.is_none() => match node.core.lead {
+                Some(_) => ProbeOutcome::Answered,
+                None => ProbeOutcome::Refused,
+            },
+            (Err(_), true) => ProbeOutcome::Refused,
+            _ => ProbeOutcome::Silent,
+        };
+        let takes = if outcome == ProbeOutcome::Silent { PROBE_MS } else { 20 };
+        self.sent += 1;
+        self.messages.insert((now + takes, self.sent), Message::Probed(n, outcome));
+    }
+
+    /// Asks the others when they heard the leader; answers come within the step.
+    pub(super) fn ask_when_leader_was_heard(&mut self, n: usize, term: Term) {
+        let now = self.now;
+        for m in (0..3).filter(|m| *m != n) {
+            let reached =
+                self.arrival(Place::Node(n), Place::Node(m)).is_some_and(|at| at < now + 100);
+            let Some(peer) = self.awake(m).filter(|_| reached && !self.old[m]) else { continue };
+            let silence_ms = peer.core.leader_silence_ms(peer.moment(now).steady, term);
+            let answer = PeerAnswer { node: NodeId(m as u8), silence_ms };
+            let Ok(node) = &mut self.nodes[n] else { return };
+            let steady = node.moment(now).steady;
+            if let Some(Command::Fence(_)) = node.core.peer_answered(steady, answer) {
+                return self.replace_leader(n);
+            }
+        }
+    }
+
+    pub(super) fn replace_leader(&mut self, n: usize) {
+        let now = self.now;
+        if let Some(trace) = &mut self.trace {
+            trace.note_stands(now);
+        }
+        let txn = self.nodes[n].as_ref().ok().and_then(|node| node.core.lead_txn());
+        if let Some(txn) = txn {
+            self.take_term(n, &txn);
+            self.pull(n);
+        }
+    }
+
+    /// Whether a controller still leads, as the store says: asked before what cannot be guarded.
+    pub(super) fn still_leads(&mut self, n: usize) -> bool {
+        if self.standby.is_none() {
+            return true;
+        }
+        let check = self.nodes[n].as_ref().ok().and_then(|node| node.core.leadership_check());
+        let outcome = check.and_then(|txn| self.commit(n, &txn));
+        if let Some(Committed::No(_)) = outcome {
+            self.refused_actions += 1;
+        }
+        matches!(outcome, Some(Committed::Yes(_)))
+    }
+
+    /// Follows a change of leader.
+    pub(super) fn observe_takeover(&mut self) {
+        let leader = self.nodes.iter().flatten().filter(|node| node.frozen.is_none());
+        let leader = leader.filter(|node| node.core.lead.is_some());
+        let leader = leader.max_by_key(|node| node.core.lead.as_ref().map(|l| l.term));
+        let led = leader.map(|node| (usize::from(node.core.me.0), node.core.life.0));
+        if led.is_some() && led != self.last_led {
+            self.changes_of_leader += 1;
+            self.last_led = led;
+        }
+        let leader = leader.and_then(|node| node.core.lead.as_ref());
+        let seen = Observed {
+            stored_term: self.store.term(),
+            leader: leader.map(|l| {
+                let published = l.published().0 > 0;
+                (l.term.0, l.fleet.machines.len(), l.fleet.unsettled.len(), published)
+            }),
+        };
+        if let Some(trace) = &mut self.trace {
+            trace.observe(self.now, &seen);
+        }
+    }
+
+    /// What the leader's last takeover found of the mirrored records, and how many copies had not matched.
+    pub fn verification_of_leader(&self) -> (VerificationCounts, u64) {
+        let node = self.leads().and_then(|(n, _)| self.nodes[n].as_ref().ok());
+        let standby = node.and_then(|node| node.core.standby.as_ref());
+        standby.map_or_else(Default::default, |standby| {
+            (standby.verification(), standby.mirror().counts().divergences)
+        })
+    }
+
+    /// Bytes that the leader's log of decisions took in messages, records that it keeps, and entries that they add up
+    /// to.
+    pub fn log_of_leader(&self) -> (u64, usize, usize) {
+        let node = self.leads().and_then(|(n, _)| self.nodes[n].as_ref().ok());
+        let log = node.and_then(|node| node.core.standby.as_ref()?.log());
+        log.map_or((0, 0, 0), |log| (log.bytes_sent(), log.kept(), log.state().len()))
+    }
+}
--- a/tests/sim/world/users.rs
+++ b/tests/sim/world/users.rs
@@ -8,7 +8,7 @@
 use willowshore::model::{JobId, TaskId, Wall};
 use willowshore::peer::Ask;
 use willowshore::state::Committed;
-use willowshore::wire::JobStage;
+use willowshore::wire::{JobStage, Shape};
 
 use super::{Message, World};
 use crate::check::{Event, Told};
@@ -25,6 +25,97 @@
 }
 
 impl World {
+    /// Users submit, cancel and ask, at any node that serves them.
+    pub(super) fn users(&mut self) {
+        let now = self.now;
+        if !now.is_multiple_of(500) {
+            return;
+        }
+        for id in self.jobs.keys().copied().collect::<Vec<_>>() {
+            if self.store.has(&willowshore::ledger::job_key(JobId(id))) {
+                self.checker.see(now, Event::Accepted { job: id });
+            }
+            let cancelled = self.cancel_every > 0 && id.is_multiple_of(self.cancel_every);
+            if cancelled && now >= id * self.every + 7_000 {
+                self.wanted_cancels.insert(id);
+            }
+            let gang = self.jobs[&id].shape == Shape::Gang;
+            let may = !gang || self.old == [false; 3];
+            if may && now >= id * self.every && !self.told.contains(&id) {
+                let n = self.rng.random_range(0..3);
+                self.ask(n, id);
+            }
+        }
+        if now >= self.calm && now.is_multiple_of(5_000) {
+            for id in self.jobs.keys().copied().collect::<Vec<_>>() {
+                (0..3).for_each(|n| self.poll(n, id));
+            }
+        }
+    }
+
+    /// A user asks a node about an accepted job, as the service answers: from what can no
+    /// longer change, else only when the store confirms it.
+    pub(super) fn poll(&mut self, n: usize, id: u64) {
+        let accepted = self.store.has(&willowshore::ledger::job_key(JobId(id)));
+        if !accepted || self.wanted_cancels.contains(&id) {
+            return;
+        }
+        let confirmed = self.reaches_store(n);
+        if confirmed {
+            self.pull(n);
+        }
+        let answer = match self.awake(n) {
+            Some(node) if node.core.ledger.ended.contains_key(&JobId(id)) => Some(true),
+            Some(node) if node.core.loaded && confirmed => {
+                Some(node.core.ledger.jobs.contains_key(&JobId(id)))
+            }
+            _ => None,
+        };
+        let event = match answer {
+            Some(known) => Event::Answered { job: id, node: n, known },
+            None => Event::Unanswered { job: id, node: n },
+        };
+        self.checker.see(self.now, event);
+    }
+
+    pub(super) fn ask(&mut self, n: usize, id: u64) {
+        let now = self.now;
+        let Some(node) = self.awake(n) else { return };
+        let ledger = &node.core.ledger;
+        if let Some((stage, _)) = ledger.ended.get(&JobId(id)).copied() {
+            let of = self.jobs[&id].pieces;
+            let done = self.completed.iter().filter(|t| t.job.0 == id).count() as u32;
+            self.told.insert(id);
+            let (event, told) = match stage {
+                JobStage::Done => (Event::CalledDone { job: id, done, of }, Told::Done),
+                _ => (Event::Cancelled { job: id }, Told::Withdrawn),
+            };
+            self.checker.see(now, event);
+            self.checker.see(now, Event::Told { job: id, node: n, told });
+            if now < self.looks_until {
+                self.looked_at.push(id);
+            }
+            return;
+        }
+        if !node.core.loaded || !self.reaches_store(n) {
+            return;
+        }
+        let Ok(node) = &self.nodes[n] else { return };
+        if !node.core.ledger.jobs.contains_key(&JobId(id)) {
+            // A repeat at another node, or while the first is still out, changes nothing.
+            self.checker.see(now, Event::Submitted { job: id });
+            let txn = accept_txn(
+                [&self.jobs[&id]].into_iter(),
+                Wall(1_000_000 + now),
+                &node.core.flavors,
+                node.core.settings.params.state.value_bytes(),
+            );
+            self.commit(n, &txn);
+        } else if self.wanted_cancels.contains(&id) {
+            self.cancel(id);
+        }
+    }
+
     /// What node `n` answers at once: what nothing can change any more, or a refusal if it does not reach
     /// the store. `None` if it has to look further.
     fn at_once(&mut self, n: usize, job: JobId) -> Option<Option<Told>> {
