Tests of what the standby adds to messages: read, ignored and asked by version

Need: summaries and plans have new fields and one question is new; the version in production ignores the fields and is not asked.

--- a/tests/upgrade/main.rs
+++ b/tests/upgrade/main.rs
@@ -19,6 +19,9 @@
     Summary, TaskView, Tell, Waits,
 };
 use willowshore::wire::{self, Item, JobSpec, JobStage, PieceStage, Shape, Urgency};
+use willowshore_standby::decisions::DecisionTarget;
+use willowshore_standby::log::{DecisionLog, FollowRequest};
+use willowshore_standby::settings::StandbySettings;
 
 /// What version 0.1 wrote, by name.
 fn fixtures() -> BTreeMap<&'static str, Vec<u8>> {
@@ -194,6 +197,7 @@
     let mut told = summary();
     told.machines[0].tasks.push(task(398, 1, PieceStage::Waiting));
     told.notices = vec![(machine("n-000001"), 9_000)];
+    told.follow = Some(FollowRequest::default());
     let frozen::Ask::Summary(s) =
         rmp_serde::from_slice(&peer::encode(&Ask::Summary(told))).unwrap()
     else {
@@ -210,6 +214,11 @@
         body.stops = vec![Stop { job: 398, before: Attempt(9), leeway_ms: 0 }];
         body.kept = vec![machine("n-000001")];
     }
+    let mut log = DecisionLog::new(Term(41), &StandbySettings::default());
+    let kept = [machine("n-000001")].into();
+    log.record(Wall(7), &DecisionTarget { kept, ..DecisionTarget::default() });
+    sent.decisions = log.batch_for(&FollowRequest::default());
+    assert!(sent.decisions.is_some());
     let frozen::Tell::Plan(p) =
         rmp_serde::from_slice(&peer::encode(&Tell::Plan(Box::new(sent)))).unwrap()
     else {
@@ -290,3 +299,18 @@
     assert!(matches!(read, Some(Ask::Ended(JobId(412), p, Revision(9))) if p == gone));
     assert!(rmp_serde::from_slice::<frozen::Ask>(&sent).is_err(), "the version before refuses it");
 }
+
+#[test]
+fn only_versions_that_read_it_are_asked_when_they_heard_the_leader() {
+    // (what a member says that it understands, whether it is asked)
+    for (speaks, asked) in [(0, false), (3, false), (4, true)] {
+        let mut ledger = Ledger::new(NodeId(0));
+        let member = MemberRecord { life: Incarnation(77), version: String::new(), speaks };
+        let item = Item { path: "n/1".into(), v: wire::to_value(&member), stamp: Revision(3) };
+        ledger.load(&item, &mut Brought::default());
+        assert_eq!(ledger.knows_standby(NodeId(1)), asked, "{speaks}");
+    }
+    let sent = peer::encode(&Ask::LeaderSilence(Term(41)));
+    assert!(matches!(peer::decode::<Ask>(&sent), Some(Ask::LeaderSilence(Term(41)))));
+    assert!(rmp_serde::from_slice::<frozen::Ask>(&sent).is_err(), "the version before refuses it");
+}
