ran_twice is reproduced: a leader that goes on starts what an earlier term granted ahead

Cause, as the tests show it: Part::begin_term voids what a term granted with room and keeps what it granted ahead. A report that waited at a stopped leader, from a machine that its new owner had told of the next term, then gets a start of the earlier term under the next one's token. A process that goes on did its loops in a fixed order so far, with messages before the watch, so an old leader never learned of the next term just before it answered a report that had waited; the order is drawn now. The one test that is about an old leader acting before it learns asks for the former order, and is as strict as before.

--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -454,3 +454,68 @@
         assert_eq!(hear(&mut core, 1_040, &again), (true, 0), "{what}: once only");
     }
 }
+
+/// How a controller learns of a new term.
+#[derive(Clone, Copy, Debug)]
+enum Way {
+    /// A watch shows another controller's election.
+    Watch,
+    /// A peer tells, as the store does not serve this node.
+    Peer,
+    /// This node was elected itself.
+    OwnElection,
+}
+
+const WAYS: [Way; 3] = [Way::Watch, Way::Peer, Way::OwnElection];
+const NEXT_TERM: Term = Term(4);
+
+/// Begins the next term in that way.
+fn begin_next_term(core: &mut Core, way: Way) {
+    let leader = |node, life| LeadRecord { node, life, term: NEXT_TERM };
+    let other = leader(NodeId(2), Incarnation(11));
+    let lead = match way {
+        Way::Peer => return core.hear_lead(other),
+        Way::Watch => other,
+        Way::OwnElection => leader(core.me, LIFE),
+    };
+    let mut brought = Brought::default();
+    let records = [
+        (ledger::LEAD_KEY, wire::to_value(&lead)),
+        (ledger::TERM_KEY, wire::to_value(&ledger::TermRecord { term: NEXT_TERM })),
+    ];
+    for (path, v) in records {
+        let item = Item { path: path.into(), v, stamp: Revision(20) };
+        core.ledger.load(&item, &mut brought);
+    }
+    core.follow(Moment { steady: Steady(1_000), wall: Wall(1_000) }, &brought);
+}
+
+#[test]
+fn nothing_that_an_earlier_term_granted_starts_in_the_next() {
+    // Seen in production (docs/incidents/2026-12-02-ran-twice.md): a leader that had stood still learned that it was
+    // replaced, and in the same instant started what it had granted ahead to itself, with the new term's token.
+    let granted = || Grant { job: 1, tasks: Ranges::span(1, 2), zone: None, attempt: None };
+    let with_room = PlanBody { grants: vec![granted()], ..PlanBody::default() };
+    let ahead = PlanBody { ahead: vec![granted()], ..PlanBody::default() };
+    for way in WAYS {
+        for (kind, body) in [("with room", &with_room), ("ahead", &ahead)] {
+            let mut core = node(0);
+            let owners = OwnerNews { base: PlanSeq(1), ..OwnerNews::default() };
+            assert!(core.part.follow(Plan {
+                term: TERM,
+                life: LIFE,
+                seq: PlanSeq(2),
+                clock_ms: 2,
+                heard: 0,
+                owners,
+                body: Some(body.clone()),
+                decisions: None,
+            }));
+            begin_next_term(&mut core, way);
+            assert_eq!(core.part.term(), NEXT_TERM, "{way:?}");
+            // Its new owner has told the machine of the term; its report waited here meanwhile.
+            let shown = report(1, 1, NEXT_TERM.0, None);
+            assert_eq!(hear(&mut core, 1_000, &shown).1, 0, "{way:?}, granted {kind}");
+        }
+    }
+}
--- a/tests/sim/main.rs
+++ b/tests/sim/main.rs
@@ -4,6 +4,7 @@
 mod check;
 mod site;
 mod standby;
+mod stopped;
 mod store;
 mod takeover;
 mod worker;
--- a/tests/sim/standby.rs
+++ b/tests/sim/standby.rs
@@ -224,6 +224,7 @@
         let at = AT + seed * 130;
         let faults = [(at, ListedFailed(1)), (at, FreezeLeader(1_800))];
         let mut world = with_standby(World::busy(seed, BRISK));
+        world.acts_before_learning = true;
         world.run(&faults, at + 8_000);
         assert!(world.checker.broken.is_empty(), "{seed}: {:?}", world.checker.broken);
         assert!(world.refused_actions > 0, "{seed}");
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -189,6 +189,8 @@
     /// Whether the leader ends in its next epoch that writes something, after the write or before it.
     crash_in_epoch: Option<bool>,
     crash_successor: bool,
+    /// Whether a leader that goes on after it was stopped always acts before it can learn that it was replaced.
+    pub acts_before_learning: bool,
     log_lags_until: u64,
     /// How often another process than before led, the first one included.
     pub changes_of_leader: u64,
@@ -275,6 +277,7 @@
             standby: None,
             crash_in_epoch: None,
             crash_successor: false,
+            acts_before_learning: false,
             log_lags_until: 0,
             changes_of_leader: 0,
             last_led: None,
--- a/tests/sim/world/controllers.rs
+++ b/tests/sim/world/controllers.rs
@@ -1,7 +1,19 @@
 //! The loops of a controller, around the same `Core` that the service drives.
 
+use rand::seq::SliceRandom;
+
 use super::*;
 
+/// What a process does first when it goes on after it was stopped.
+enum Resumed {
+    ReturnMachines,
+    Lead,
+    Summarize,
+    Watch,
+    /// What reached it meanwhile, in its order.
+    Messages(Vec<Message>),
+}
+
 impl World {
     pub(super) fn step_node(&mut self, n: usize) {
         let now = self.now;
@@ -57,8 +69,9 @@
         self.announce(n);
     }
 
-    /// Whether a controller's process is stopped. When it goes on, its timers come before what has reached it
-    /// meanwhile: an old leader then acts before it can learn that it was replaced.
+    /// Whether a controller's process is stopped. When it goes on, its loops and what has reached it meanwhile come in
+    /// any order: an old leader may act before it can learn that it was replaced, and may learn it just before it
+    /// answers a report that has waited.
     pub(super) fn stays_frozen(&mut self, n: usize) -> bool {
         let now = self.now;
         let Ok(node) = &mut self.nodes[n] else { return false };
@@ -69,10 +82,25 @@
         node.frozen = None;
         node.next = [now; 4];
         let held = std::mem::take(&mut node.held);
-        // The loops of the service go on in any order.
-        self.return_machines(n);
-        self.lead(n);
-        held.into_iter().for_each(|message| self.deliver(message));
+        let mut activities = [
+            Resumed::ReturnMachines,
+            Resumed::Lead,
+            Resumed::Messages(held),
+            Resumed::Watch,
+            Resumed::Summarize,
+        ];
+        if !self.acts_before_learning {
+            activities.shuffle(&mut self.rng);
+        }
+        for activity in activities {
+            match activity {
+                Resumed::ReturnMachines => self.return_machines(n),
+                Resumed::Lead => self.lead(n),
+                Resumed::Summarize => self.summarize(n),
+                Resumed::Watch => self.sync(n),
+                Resumed::Messages(held) => held.into_iter().for_each(|m| self.deliver(m)),
+            }
+        }
         false
     }
 
--- a/tests/sim/world/scenarios.rs
+++ b/tests/sim/world/scenarios.rs
@@ -2,6 +2,10 @@
 
 use super::*;
 
+/// Jobs of [`World::saturated`], and the cores that their team may use: more than all machines have.
+const SATURATED_JOBS: u64 = 40;
+const SATURATED_LIMIT: u64 = 1_000;
+
 impl World {
     /// A world in which some jobs are gangs, in one zone, spread, or anywhere.
     pub fn with_gangs(seed: u64, rhythm: Rhythm) -> Self {
@@ -86,6 +90,23 @@
         world
     }
 
+    /// A world in which short tasks fill all machines all the time, so that many are granted ahead of a free place.
+    pub fn saturated(seed: u64, rhythm: Rhythm) -> Self {
+        let mut world = World::new(seed, rhythm);
+        world.run_ms = 2_000;
+        world.every = 1_000;
+        world.team_limit = SATURATED_LIMIT;
+        world.checker = Checker::new(rhythm.cancel_ms, world.team_limit);
+        let job = |id| JobSpec {
+            scatter: false,
+            urgency: Urgency::Normal,
+            bundle: "img".into(),
+            ..spec(id, 8, 4.0)
+        };
+        world.jobs = (1..=SATURATED_JOBS).map(|id| (id, job(id))).collect();
+        world
+    }
+
     /// A burst of urgent jobs of one to three tasks. They are as many as the team's limit lets begin within the time
     /// that a job may wait.
     pub fn burst(seed: u64, rhythm: Rhythm) -> Self {
