The log says what a proof rests on, and which tasks two machines show

Change: 'proven not to run' names controllers, plans and counts of machines, and each task at debug level; a task that two settled machines show is logged once, as an error; the line of every ten seconds counts refused starts.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -15,6 +15,8 @@
 use crate::term::{last_right, plus_drift};
 use crate::wire::{self, HostList, PieceStage};
 
+mod proof;
+
 /// A controller that has not been heard for that long is taken as lost.
 pub const NODE_LOST_MS: u64 = 3_000;
 /// A controller that the store has not served for that long hands its machines over; for half
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -118,6 +118,8 @@
     limbo: FxHashSet<TaskId>,
     /// Grants on record, in the store.
     recorded: FxHashMap<JobId, Ranges>,
+    /// Tasks that two machines show.
+    doubled: FxHashSet<TaskId>,
     /// Tasks on record that were never granted: this leader put them there ahead of time.
     ahead: FxHashSet<TaskId>,
     bodies: BTreeMap<NodeId, PlanBody>,
@@ -182,6 +184,7 @@
             attempts: Attempts::new(term, LEADERS_ATTEMPTS),
             limbo: ledger.granted_before(),
             recorded,
+            doubled: FxHashSet::default(),
             ahead: FxHashSet::default(),
             bodies: BTreeMap::new(),
             told_standings: Steady(0),
@@ -277,7 +280,8 @@
         let fleet = std::mem::replace(&mut self.fleet, Fleet::begin(ctx, None));
         let on = fleet.on_machines();
         self.learn(ctx, &on);
-        self.settle(ctx, &on, fleet.unsettled.is_empty());
+        self.note_doubled(&fleet, &on);
+        self.settle(ctx, &fleet, &on);
         self.supervise_gangs(ctx, &fleet, &on);
         let mut rooms = self.rooms(ctx, &fleet);
         let mut turnover = self.turnover(ctx, &fleet, &on, &rooms);
@@ -345,13 +349,16 @@
     }
 
     /// Frees what is proven not to run, and takes back grants that were not used.
-    fn settle(&mut self, ctx: &Context<'_>, on: &OnMachines<'_>, all_settled: bool) {
+    fn settle(&mut self, ctx: &Context<'_>, fleet: &Fleet, on: &OnMachines<'_>) {
         let now = ctx.now;
         let ledger = ctx.ledger;
         self.limbo.retain(|t| ledger.may_run(*t) && !on.contains_key(t));
-        if all_settled && !self.limbo.is_empty() {
-            tracing::info!(term = %self.term, tasks = self.limbo.len(), "proven not to run");
-            self.limbo.clear();
+        if fleet.unsettled.is_empty() && !self.limbo.is_empty() {
+            let (term, tasks, proof) = (self.term, self.limbo.len(), fleet.proof());
+            tracing::info!(%term, tasks, %proof, "proven not to run");
+            for task in self.limbo.drain() {
+                tracing::debug!(%task, %term, "proven not to run");
+            }
         }
         self.granted.retain(|t, _| ledger.may_run(*t));
         self.revoked.retain(|t, _| ledger.may_run(*t));
@@ -376,6 +383,18 @@
         }
     }
 
+    /// Logs tasks that two machines show, once each: a rule is about to break, or has.
+    fn note_doubled(&mut self, fleet: &Fleet, on: &OnMachines<'_>) {
+        let doubled = fleet.doubled(on);
+        self.doubled.retain(|task| doubled.iter().any(|d| d.task == *task));
+        for d in doubled {
+            if self.doubled.insert(d.task) {
+                let [first, second] = d.machines;
+                tracing::error!(task = %d.task, %first, %second, term = %self.term, "on two machines");
+            }
+        }
+    }
+
     /// Whether a task may be granted: it is proven to be nowhere.
     fn is_free(&self, ctx: &Context<'_>, on: &OnMachines<'_>, t: TaskId) -> bool {
         ctx.ledger.may_run(t)
--- a/src/service/epochs.rs
+++ b/src/service/epochs.rs
@@ -41,7 +41,8 @@
     pub(super) async fn describe(self: Rc<Self>) {
         loop {
             sleep(Duration::from_secs(10)).await;
-            info!(work = %self.meter.line(), "measured");
+            let refused_starts = self.core.borrow().part.refused_starts();
+            info!(work = %self.meter.line(), refused_starts, "measured");
             self.core.borrow_mut().with_lead(self.moment(), |lead, ctx| {
                 info!(term = %lead.term, state = %lead.describe(ctx), "epoch");
             });
