--- a/tests/sim/standby.rs
+++ b/tests/sim/standby.rs
@@ -18,7 +18,8 @@
 /// The first decision has to hold by then.
 const FIRST_DECISION_MS: u64 = 10_000;
 
-fn with_standby(mut world: World) -> World {
+/// The same world with the warm standby enabled.
+pub fn with_standby(mut world: World) -> World {
     world.standby = Some(StandbySettings::default());
     world
 }
--- a/tests/sim/world/faults.rs
+++ b/tests/sim/world/faults.rs
@@ -9,6 +9,10 @@
     CrashAll,
     /// The leader's process is stopped and goes on later as if nothing had been.
     FreezeLeader(u64),
+    /// That controller's process is stopped and goes on later.
+    Freeze(usize, u64),
+    /// That controller is cut off from the other controllers only.
+    CutFromControllers(usize, u64),
     /// The leader's process ends in its next epoch that writes something: after the write, or before it.
     CrashInEpoch(bool),
     /// The leader and the first in rank to replace it end together.
@@ -108,6 +112,8 @@
             | Fault::CancelAtEnd(ms)
             | Fault::CloseLooks(ms)
             | Fault::FreezeLeader(ms)
+            | Fault::Freeze(_, ms)
+            | Fault::CutFromControllers(_, ms)
             | Fault::CutPair(ms)
             | Fault::RefuseStandby(ms)
             | Fault::LogLag(ms)
@@ -126,6 +132,8 @@
         match self {
             Fault::StoreOutage(t) => Fault::StoreOutage(t * by),
             Fault::FreezeLeader(t) => Fault::FreezeLeader(t * by),
+            Fault::Freeze(n, t) => Fault::Freeze(n, t * by),
+            Fault::CutFromControllers(n, t) => Fault::CutFromControllers(n, t * by),
             Fault::CutPair(t) => Fault::CutPair(t * by),
             Fault::RefuseStandby(t) => Fault::RefuseStandby(t * by),
             Fault::LogLag(t) => Fault::LogLag(t * by),
@@ -309,11 +317,11 @@
             self.trace = Some(TakeoverTrace::new(now, term));
         }
         match fault {
-            Fault::FreezeLeader(ms) => {
-                let leader = self.leader();
-                if let Ok(node) = &mut self.nodes[leader] {
-                    node.frozen = Some(now + ms);
-                }
+            Fault::FreezeLeader(ms) => self.freeze(self.leader(), ms),
+            Fault::Freeze(n, ms) => self.freeze(n, ms),
+            Fault::CutFromControllers(n, ms) => {
+                let others = (0..3).filter(|m| *m != n).map(Place::Node).collect();
+                self.cut([Place::Node(n)].into(), others, ms, false);
             }
             Fault::CrashInEpoch(written) => self.crash_in_epoch = Some(written),
             Fault::ListedFailed(w) => {
@@ -427,6 +435,12 @@
         }
     }
 
+    fn freeze(&mut self, n: usize, ms: u64) {
+        if let Ok(node) = &mut self.nodes[n] {
+            node.frozen = Some(self.now + ms);
+        }
+    }
+
     pub(super) fn cut(&mut self, from: BTreeSet<Place>, to: BTreeSet<Place>, ms: u64, hold: bool) {
         self.cuts.push(Cut { from, to, until: self.now + ms, hold });
     }
