What the leader sees and a moment's type are modules below their users; moves only

Need: fleet imported Context from lead, which imports fleet; standby imported Moment from core, which imports standby. Context is a module of its own, Moment is in crates/model. place with ledger and capacity still import each other. Nothing behaves differently.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -171,6 +171,15 @@
     }
 }
 
+/// A moment by both clocks.
+#[derive(Clone, Copy, Debug)]
+pub struct Moment {
+    /// The process's steady clock.
+    pub steady: Steady,
+    /// The time of day.
+    pub wall: Wall,
+}
+
 /// Processor cores (or a share of them), in thousandths so that sums are exact.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- /dev/null
+++ b/src/context.rs
@@ -0,0 +1,33 @@
+//! What the leader and its view of the machines need to see besides their own state.
+
+use std::collections::BTreeMap;
+
+use crate::config::{NodeInfo, Settings, StateLimits};
+use crate::ledger::Ledger;
+use crate::model::{JobId, Steady, Wall};
+use crate::part::Finished;
+use crate::place::Flavors;
+
+/// What the leader needs to see besides its own state.
+pub struct Context<'a> {
+    /// Now.
+    pub now: Steady,
+    /// Time of day.
+    pub wall: Wall,
+    /// The replica.
+    pub ledger: &'a Ledger,
+    /// When the replica was last known to be current.
+    pub synced: Steady,
+    /// Milliseconds for which the store has served this node without a break.
+    pub served_for: u64,
+    /// Machine types.
+    pub flavors: &'a Flavors,
+    /// Tasks that completed and are not on record yet.
+    pub finished: &'a BTreeMap<JobId, Finished>,
+    /// Settings.
+    pub settings: &'a Settings,
+    /// Limits of the state service that writes keep to.
+    pub limits: &'a StateLimits,
+    /// All controllers.
+    pub nodes: &'a [NodeInfo],
+}
--- a/src/core.rs
+++ b/src/core.rs
@@ -6,9 +6,12 @@
 use tracing::info;
 
 use crate::config::{NodeInfo, Settings, StateLimits};
-use crate::lead::{Context, Epoch, Lead};
+use crate::context::Context;
+use crate::lead::{Epoch, Lead};
 use crate::ledger::{self, Brought, LeadRecord, Ledger, MemberRecord, TermRecord};
-use crate::model::{Incarnation, JobId, NodeId, Revision, Steady, StoreLease, TaskId, Term, Wall};
+use crate::model::{
+    Incarnation, JobId, Moment, NodeId, Revision, Steady, StoreLease, TaskId, Term, Wall,
+};
 use crate::part::{Announcement, Part, ReportAnswer, Surroundings};
 use crate::peer::{Plan, Summary, Tell, Waits};
 use crate::place::Flavors;
@@ -38,15 +41,6 @@
 /// How long what the store told counts as fresh for peers.
 const FRESH_MS: u64 = 2_500;
 
-/// A moment by both clocks.
-#[derive(Clone, Copy, Debug)]
-pub struct Moment {
-    /// The process's steady clock.
-    pub steady: Steady,
-    /// The time of day.
-    pub wall: Wall,
-}
-
 /// A controller's state.
 pub struct Core {
     /// Settings.
--- a/src/core/succession.rs
+++ b/src/core/succession.rs
@@ -7,9 +7,9 @@
     Cause, Command, Event, FenceOutcome, PeerAnswer, ProbeOutcome,
 };
 
-use super::{Core, Moment};
+use super::Core;
 use crate::ledger::LeadRecord;
-use crate::model::{NodeId, Steady, Term};
+use crate::model::{Moment, NodeId, Steady, Term};
 use crate::peer::Tell;
 use crate::standby::{Followed, Standby};
 use crate::state::Committed;
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -8,7 +8,7 @@
 
 use crate::capacity::Offer;
 use crate::config::Pace;
-use crate::lead::Context;
+use crate::context::Context;
 use crate::model::{Incarnation, MachineId, NodeId, PlanSeq, Session, Steady, TaskId};
 use crate::peer::{MachineView, OwnerNews, Summary};
 use crate::place::Room;
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -13,16 +13,13 @@
 
 use crate::admit::{self, Bounds, Demand};
 use crate::capacity::{self, Market};
-use crate::config::{NodeInfo, Settings, StateLimits};
+use crate::context::Context;
 use crate::fleet::{Fleet, OnMachines, Taken};
-use crate::ledger::Ledger;
 use crate::model::{
     Attempt, Cores, JobId, LEADERS_ATTEMPTS, MachineId, NodeId, PlanSeq, Ranges, Steady, TaskId,
-    Term, Wall,
+    Term,
 };
-use crate::part::Finished;
 use crate::peer::{PlanBody, Summary, Tell, Waits};
-use crate::place::Flavors;
 use crate::term::Attempts;
 use crate::wire::{Shape, Txn};
 
@@ -50,30 +47,6 @@
 use speed::Speed;
 use waiting::STARVED_WEIGHT;
 
-/// What the leader needs to see besides its own state.
-pub struct Context<'a> {
-    /// Now.
-    pub now: Steady,
-    /// Time of day.
-    pub wall: Wall,
-    /// The replica.
-    pub ledger: &'a Ledger,
-    /// When the replica was last known to be current.
-    pub synced: Steady,
-    /// Milliseconds for which the store has served this node without a break.
-    pub served_for: u64,
-    /// Machine types.
-    pub flavors: &'a Flavors,
-    /// Tasks that completed and are not on record yet.
-    pub finished: &'a BTreeMap<JobId, Finished>,
-    /// Settings.
-    pub settings: &'a Settings,
-    /// Limits of the state service that writes keep to.
-    pub limits: &'a StateLimits,
-    /// All controllers.
-    pub nodes: &'a [NodeInfo],
-}
-
 #[derive(Clone)]
 struct Granted {
     node: NodeId,
--- a/src/lead/tests.rs
+++ b/src/lead/tests.rs
@@ -3,11 +3,12 @@
 use super::importance::weight;
 use super::*;
 use crate::capacity::Offer;
+use crate::config::Settings;
 use crate::config::tests::EXAMPLE;
-use crate::core::{Core, Moment};
+use crate::core::Core;
 use crate::ledger::tests::group;
 use crate::ledger::{self, Accepted, Brought, EpochRecord, LeadRecord, TermRecord};
-use crate::model::{Incarnation, Revision, Session, StoreLease};
+use crate::model::{Incarnation, Moment, Revision, Session, StoreLease, Wall};
 use crate::peer::{MachineView, TaskView};
 use crate::place::tests::flavor;
 use crate::wire::tests::spec;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod capacity;
 pub mod cloud;
 pub mod config;
+pub mod context;
 pub mod core;
 pub mod features;
 pub mod fleet;
--- a/src/service.rs
+++ b/src/service.rs
@@ -14,11 +14,11 @@
 
 use crate::cloud::CloudClient;
 use crate::config::{Settings, StateLimits};
-use crate::core::{Core, Moment};
+use crate::core::Core;
 use crate::features::Features;
 use crate::http::{self, Client, Kind, ServerLimits};
 use crate::meter::Meter;
-use crate::model::{Incarnation, NodeId, Steady, Wall};
+use crate::model::{Incarnation, Moment, NodeId, Steady, Wall};
 use crate::peer::Tell;
 use crate::state::StateClient;
 use crate::wire::JobSpec;
--- a/src/standby.rs
+++ b/src/standby.rs
@@ -10,8 +10,7 @@
 use willowshore_standby::status::{Role, Status, TakeoverStatus, VerificationCounts};
 use willowshore_standby::takeover::{Cause, Command, Event, FenceOutcome, Phase, TakeoverMachine};
 
-use crate::core::Moment;
-use crate::model::{NodeId, Steady, Term, Wall};
+use crate::model::{Moment, NodeId, Steady, Term, Wall};
 
 /// Least time between two records of the leader's decisions, in milliseconds.
 const RECORD_MS: u64 = 200;
