A machine that cannot reach its owner is given to the controller that hears it

Found beside the cause of ran_twice, as the opposite mistake: the term that is taken to move such a machine voided the observation it was taken for, and the hash gave the machine to the same owner again. Change: the leader keeps into its next terms which controller hears the machine, for 60 s.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -36,6 +36,8 @@
 const CUT_OFF_MS: u64 = 60_000;
 /// How long a controller that hears no workers gets no part.
 const UNHEARD_MS: u64 = 60_000;
+/// How long a machine that could not reach its owner is given to the controller that heard it.
+const REASSIGNED_MS: u64 = 60_000;
 /// A controller hears workers if one reported within that time.
 const HEARS_MS: u64 = 2_000;
 /// Part of the machines that are returned when only they keep a proof waiting; how long that is
@@ -124,6 +126,13 @@
     pub missing: bool,
 }
 
+/// Whom a machine is given to that could not reach its owner.
+struct Reassigned {
+    /// The controller that heard it.
+    node: NodeId,
+    until: Steady,
+}
+
 /// A task that is on a machine.
 #[derive(Clone, Copy)]
 pub struct Seen<'a> {
@@ -168,6 +177,8 @@
     absent: HashMap<NodeId, (u64, Steady)>,
     /// Controllers that hear no workers, and until when they get no part for that.
     unheard: HashMap<NodeId, Steady>,
+    /// Machines that could not reach their owner.
+    reassigned: HashMap<MachineId, Reassigned>,
     /// Whether tasks wait for the proof that they are not on an unsettled machine.
     pub awaited: bool,
     /// The leader that was replaced as a majority did not hear it: its summary is not waited for.
@@ -190,6 +201,7 @@
             lapsed: BTreeMap::new(),
             absent: HashMap::new(),
             unheard: HashMap::new(),
+            reassigned: HashMap::new(),
             awaited: false,
             replaced: None,
             machines: BTreeMap::new(),
@@ -199,6 +211,8 @@
             fleet.heard = old.heard;
             fleet.absent = old.absent;
             fleet.unheard = old.unheard;
+            fleet.reassigned = old.reassigned;
+            fleet.reassigned.retain(|_, r| r.until > ctx.now);
             fleet.machines = old.machines;
             for m in fleet.machines.values_mut() {
                 m.draining = m.draining.map(|_| PlanSeq(1));
@@ -431,7 +445,7 @@
 
     /// Why a new term is needed, if one is: an owner is lost, or machines cannot reach theirs.
     pub fn wants_new_term(
-        &self,
+        &mut self,
         now: Steady,
         served_for: u64,
         pace: &Pace,
@@ -449,26 +463,43 @@
         if calm && !able.is_empty() && self.owners.values().any(|(o, _)| !able.contains(o)) {
             return Some("the store or the workers do not reach the owner of machines");
         }
-        let all_strays = self
-            .nodes
-            .iter()
-            .filter(|(id, _)| live.contains(id))
-            .flat_map(|(node, n)| n.strays.iter().map(move |s| (node, s)));
-        let (mut some, mut long) = (0, false);
+        self.reassign_out_of_reach(now, &live, pace).then_some("machines cannot reach their owner")
+    }
+
+    /// Notes which machines cannot reach their owner and which controller hears them instead, so that it gets them in
+    /// the next term. Says whether they are enough, or have waited long enough, to take one for them.
+    fn reassign_out_of_reach(&mut self, now: Steady, live: &[NodeId], pace: &Pace) -> bool {
         // They go back to the cloud; no owner would take them.
-        let reborn: Vec<&MachineId> = self.nodes.values().flat_map(|n| &n.reborn).collect();
-        for (node, s) in all_strays {
-            if s.since_ms > STRAY_MS
-                && s.silent_ms < pace.stray_ms
-                && self.owners.get(&s.id).is_some_and(|(o, _)| o != node)
-                && !self.owner_hears(now, &s.id, s.silent_ms)
-                && !reborn.contains(&&s.id)
-            {
-                some += 1;
-                long |= s.since_ms > FEW_STRAYS_MS;
+        let restarted: Vec<&MachineId> = self.nodes.values().flat_map(|n| &n.reborn).collect();
+        let mut found: Vec<(MachineId, NodeId)> = Vec::new();
+        let mut long = false;
+        for node in live {
+            let Some(state) = self.nodes.get(node) else { continue };
+            for s in &state.strays {
+                if s.since_ms > STRAY_MS
+                    && s.silent_ms < pace.stray_ms
+                    && self.owners.get(&s.id).is_some_and(|(owner, _)| owner != node)
+                    && !self.owner_hears(now, &s.id, s.silent_ms)
+                    && !restarted.contains(&&s.id)
+                {
+                    found.push((s.id.clone(), *node));
+                    long |= s.since_ms > FEW_STRAYS_MS;
+                }
             }
         }
-        (some > self.owners.len() / 20 || long).then_some("machines cannot reach their owner")
+        let takes_term = found.len() > self.owners.len() / 20 || long;
+        if takes_term {
+            let until = now.plus(REASSIGNED_MS);
+            let reassigned = found.into_iter().map(|(id, node)| (id, Reassigned { node, until }));
+            self.reassigned.extend(reassigned);
+        }
+        takes_term
+    }
+
+    /// The controller that hears a machine which could not reach its owner.
+    fn reassigned_to(&self, now: Steady, id: &MachineId, live: &[NodeId]) -> Option<NodeId> {
+        let reassigned = self.reassigned.get(id).filter(|r| r.until > now)?;
+        live.contains(&reassigned.node).then_some(reassigned.node)
     }
 
     /// Whether a machine's owner has heard it lately, or later than the controller that heard it
@@ -484,9 +515,12 @@
         held.or_else(|| ctx.ledger.machines.get(id).map(|m| m.zone.as_str()))
     }
 
-    /// The owner of a machine among live controllers: those of its zone if one is up, else
-    /// all; the highest hash wins.
+    /// The owner of a machine among live controllers: the one that hears it if it could not reach its owner lately,
+    /// else those of its zone if one is up, else all; the highest hash wins.
     pub fn owner_for(&self, ctx: &Context<'_>, id: &MachineId, live: &[NodeId]) -> Option<NodeId> {
+        if let Some(node) = self.reassigned_to(ctx.now, id, live) {
+            return Some(node);
+        }
         let zone = self.zone_of(ctx, id);
         let near: Vec<NodeId> = live
             .iter()
--- a/tests/sim/main.rs
+++ b/tests/sim/main.rs
@@ -2,6 +2,7 @@
 //! workers, in simulated time with seeded randomness. The rules are checked at every step.
 
 mod check;
+mod reach;
 mod site;
 mod standby;
 mod stopped;
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -339,6 +339,19 @@
         all.max_by_key(|l| l.1)
     }
 
+    /// The term of the leader; 0 without one.
+    pub fn term(&self) -> u64 {
+        self.leads().map_or(0, |(_, term)| term)
+    }
+
+    /// The controller that owns a machine, as the leader says.
+    pub fn owner_of(&self, w: usize) -> Option<usize> {
+        let (leader, _) = self.leads()?;
+        let lead = self.nodes[leader].as_ref().ok()?.core.lead.as_ref()?;
+        let (owner, _) = lead.fleet.owners.get(&self.workers[w].name())?;
+        Some(usize::from(owner.0))
+    }
+
     /// When a packet arrives that is sent now; `None` if never.
     fn arrival(&mut self, a: Place, b: Place) -> Option<u64> {
         let mut at = self.now + self.rng.random_range(1..15);
--- a/tests/sim/world/faults.rs
+++ b/tests/sim/world/faults.rs
@@ -11,6 +11,8 @@
     FreezeLeader(u64),
     /// That controller's process is stopped and goes on later.
     Freeze(usize, u64),
+    /// A machine does not reach the controller that owns it; it reaches the others.
+    CutFromOwner(usize, u64),
     /// That controller is cut off from the other controllers only.
     CutFromControllers(usize, u64),
     /// The leader's process ends in its next epoch that writes something: after the write, or before it.
@@ -114,6 +116,7 @@
             | Fault::FreezeLeader(ms)
             | Fault::Freeze(_, ms)
             | Fault::CutFromControllers(_, ms)
+            | Fault::CutFromOwner(_, ms)
             | Fault::CutPair(ms)
             | Fault::RefuseStandby(ms)
             | Fault::LogLag(ms)
@@ -134,6 +137,7 @@
             Fault::FreezeLeader(t) => Fault::FreezeLeader(t * by),
             Fault::Freeze(n, t) => Fault::Freeze(n, t * by),
             Fault::CutFromControllers(n, t) => Fault::CutFromControllers(n, t * by),
+            Fault::CutFromOwner(w, t) => Fault::CutFromOwner(w, t * by),
             Fault::CutPair(t) => Fault::CutPair(t * by),
             Fault::RefuseStandby(t) => Fault::RefuseStandby(t * by),
             Fault::LogLag(t) => Fault::LogLag(t * by),
@@ -319,6 +323,11 @@
         match fault {
             Fault::FreezeLeader(ms) => self.freeze(self.leader(), ms),
             Fault::Freeze(n, ms) => self.freeze(n, ms),
+            Fault::CutFromOwner(w, ms) => {
+                if let Some(owner) = self.owner_of(w) {
+                    self.cut([Place::Worker(w)].into(), [Place::Node(owner)].into(), ms, false);
+                }
+            }
             Fault::CutFromControllers(n, ms) => {
                 let others = (0..3).filter(|m| *m != n).map(Place::Node).collect();
                 self.cut([Place::Node(n)].into(), others, ms, false);
