Names of the field where the part was touched: unresolved tasks, restarted, acknowledged

Old to new: limbo, unresolved (tasks that may still run); heeds, accepts_answers; unheeded, unacknowledged; reborn, restarted (still reborn in messages, by serde rename); spent, shown_gang_attempts; sends_away and sent_away, releases_worker and released_workers; lonely, isolated; heed, note_refused_write. Nothing behaves differently.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -74,7 +74,7 @@
     /// Jobs that fail wherever it tries them.
     pub failing: Vec<u64>,
     strays: Vec<crate::peer::Stray>,
-    reborn: Vec<MachineId>,
+    restarted: Vec<MachineId>,
     /// When the cloud takes machines of its part.
     notices: BTreeMap<MachineId, Steady>,
     machines: BTreeMap<MachineId, Known>,
@@ -249,7 +249,7 @@
             first: now,
             failing: Vec::new(),
             strays: Vec::new(),
-            reborn: Vec::new(),
+            restarted: Vec::new(),
             notices: BTreeMap::new(),
             machines: BTreeMap::new(),
             pending: None,
@@ -263,7 +263,7 @@
         state.at = now;
         state.failing = s.failing;
         state.strays = s.strays;
-        state.reborn = s.reborn;
+        state.restarted = s.restarted;
         state.notices = s.notices.into_iter().map(|(id, ms)| (id, now.plus(ms))).collect();
         let answered = s.answered.into_iter().map(|(id, age)| (id, now.less(age)));
         let mut pieces = state.pending.take().filter(|_| s.base > 0).unwrap_or_default();
@@ -470,7 +470,7 @@
     /// the next term. Says whether they are enough, or have waited long enough, to take one for them.
     fn reassign_out_of_reach(&mut self, now: Steady, live: &[NodeId], pace: &Pace) -> bool {
         // They go back to the cloud; no owner would take them.
-        let restarted: Vec<&MachineId> = self.nodes.values().flat_map(|n| &n.reborn).collect();
+        let restarted: Vec<&MachineId> = self.nodes.values().flat_map(|n| &n.restarted).collect();
         let mut found: Vec<(MachineId, NodeId)> = Vec::new();
         let mut long = false;
         for node in live {
@@ -787,7 +787,8 @@
         let few = self.awaited
             && are_few(self.unsettled.len(), up)
             && now.since(self.began) > pace.gap_ms + FEW_WAIT_MS;
-        let reborn: HashSet<&MachineId> = self.nodes.values().flat_map(|n| &n.reborn).collect();
+        let restarted: HashSet<&MachineId> =
+            self.nodes.values().flat_map(|n| &n.restarted).collect();
         let all_strays = self.nodes.values().flat_map(|n| &n.strays);
         let strays: HashSet<&MachineId> =
             all_strays.filter(|s| s.silent_ms < pace.stray_ms).map(|s| &s.id).collect();
@@ -804,7 +805,7 @@
             let silent = silent_ms(id);
             // What ran before it was restarted is over, but nobody can tell its reports from
             // late copies of earlier ones.
-            if reborn.contains(id) || (m.missing && silent > pace.gap_ms) {
+            if restarted.contains(id) || (m.missing && silent > pace.gap_ms) {
                 return true;
             }
             if m.failed || (self.unsettled.contains(id) && (deaf || few && !strays.contains(id))) {
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -2,7 +2,7 @@
 //! parts, write the epoch, and only then hand out plans.
 //!
 //! A term begins with nothing granted. Whatever an earlier term granted and is not done may
-//! be running ("limbo") until every machine that may hold it has reported with the new
+//! be running, and is unresolved until every machine that may hold it has reported with the new
 //! token, and so refuses older orders, or is proven gone. Owners are fixed within a term;
 //! losing a controller or moving a machine takes a new term of the same leader.
 
@@ -88,7 +88,7 @@
     granted: BTreeMap<TaskId, Granted>,
     revoked: FxHashMap<TaskId, Revoked>,
     attempts: Attempts,
-    limbo: FxHashSet<TaskId>,
+    unresolved: FxHashSet<TaskId>,
     /// Grants on record, in the store.
     recorded: FxHashMap<JobId, Ranges>,
     /// Tasks that two machines show.
@@ -155,7 +155,7 @@
             granted: BTreeMap::new(),
             revoked: FxHashMap::default(),
             attempts: Attempts::new(term, LEADERS_ATTEMPTS),
-            limbo: ledger.granted_before(),
+            unresolved: ledger.granted_before(),
             recorded,
             doubled: FxHashSet::default(),
             ahead: FxHashSet::default(),
@@ -187,14 +187,14 @@
         if let Some(old) = before {
             if old.term.0 + 1 == term.0 {
                 // Nobody led in between, so what this leader never granted is nowhere.
-                lead.limbo.retain(|t| !old.ahead.contains(t));
+                lead.unresolved.retain(|t| !old.ahead.contains(t));
                 lead.ahead = old.ahead;
             }
             // The record in the store may lag behind what this very leader granted.
             let may_run = |t: &TaskId| ledger.may_run(*t);
-            lead.limbo.extend(old.granted.keys().copied().filter(may_run));
-            lead.limbo.extend(old.revoked.keys().copied().filter(may_run));
-            lead.limbo.extend(old.limbo.iter().copied().filter(may_run));
+            lead.unresolved.extend(old.granted.keys().copied().filter(may_run));
+            lead.unresolved.extend(old.revoked.keys().copied().filter(may_run));
+            lead.unresolved.extend(old.unresolved.iter().copied().filter(may_run));
             lead.rebalanced = old.rebalanced;
             lead.market = old.market;
             lead.runs = old.runs;
@@ -278,7 +278,7 @@
         }
         drop(on);
         self.fleet = fleet;
-        self.fleet.awaited = !self.limbo.is_empty();
+        self.fleet.awaited = !self.unresolved.is_empty();
         if due {
             self.drain_retired();
         }
@@ -325,11 +325,11 @@
     fn settle(&mut self, ctx: &Context<'_>, fleet: &Fleet, on: &OnMachines<'_>) {
         let now = ctx.now;
         let ledger = ctx.ledger;
-        self.limbo.retain(|t| ledger.may_run(*t) && !on.contains_key(t));
-        if fleet.unsettled.is_empty() && !self.limbo.is_empty() {
-            let (term, tasks, proof) = (self.term, self.limbo.len(), fleet.proof());
+        self.unresolved.retain(|t| ledger.may_run(*t) && !on.contains_key(t));
+        if fleet.unsettled.is_empty() && !self.unresolved.is_empty() {
+            let (term, tasks, proof) = (self.term, self.unresolved.len(), fleet.proof());
             tracing::info!(%term, tasks, %proof, "proven not to run");
-            for task in self.limbo.drain() {
+            for task in self.unresolved.drain() {
                 tracing::debug!(%task, %term, "proven not to run");
             }
         }
@@ -375,7 +375,7 @@
             && !on.contains_key(&t)
             && !self.granted.contains_key(&t)
             && !self.revoked.contains_key(&t)
-            && !self.limbo.contains(&t)
+            && !self.unresolved.contains(&t)
     }
 
     /// Tasks of each job that are on machines or granted, and those that may be anywhere.
@@ -388,7 +388,7 @@
         for t in others.filter(|t| !on.contains_key(t)) {
             counts.entry(t.job).or_default().0 += 1;
         }
-        for t in &self.limbo {
+        for t in &self.unresolved {
             counts.entry(t.job).or_default().1 += 1;
         }
         counts
@@ -436,11 +436,11 @@
         self.hold_back(ctx, &demands, &counts, &mut filling);
         for d in order {
             let share = admission.shares.get(&d.job).copied().unwrap_or(0);
-            let (held, limbo) = counts.get(&d.job).copied().unwrap_or_default();
+            let (held, unresolved) = counts.get(&d.job).copied().unwrap_or_default();
             let Some(job) = ctx.ledger.jobs.get(&d.job) else {
                 continue;
             };
-            if limbo > 0 {
+            if unresolved > 0 {
                 self.waits.insert(d.job, Waits::Unproven);
             }
             if failing.contains(&d.job) {
--- a/src/lead/describe.rs
+++ b/src/lead/describe.rs
@@ -34,7 +34,7 @@
         let rooms = self.fleet.rooms(ctx);
         rooms.iter().for_each(|r| free.0 += r.free.cores.0);
         format!(
-            "machines={} up={} spot={} owners={} tasks={} granted={} limbo={} unsettled={} jobs={} \
+            "machines={} up={} spot={} owners={} tasks={} granted={} unresolved={} unsettled={} jobs={} \
              cores: run={:.0} fetch={:.0} wait={:.0} free={:.0} ready={:.0}/{:.0} kept={} versions={}",
             self.fleet.machines.len(),
             self.fleet.machines.values().filter(|m| m.up).count(),
@@ -42,7 +42,7 @@
             self.fleet.owners.len(),
             on.len(),
             self.granted.keys().filter(|t| !on.contains_key(t)).count(),
-            self.limbo.len(),
+            self.unresolved.len(),
             self.fleet.unsettled.len(),
             ctx.ledger.jobs.len(),
             runs.amount(),
--- a/src/lead/filling.rs
+++ b/src/lead/filling.rs
@@ -212,7 +212,7 @@
         }
         let mut zones = ZoneRule::of(&job.spec);
         if zones.binds() {
-            if self.limbo.iter().any(|t| t.job == id) {
+            if self.unresolved.iter().any(|t| t.job == id) {
                 return; // Where the others are is not known.
             }
             self.count_zones(id, on, &mut zones);
--- a/src/lead/gang.rs
+++ b/src/lead/gang.rs
@@ -59,7 +59,7 @@
     running: u32,
     under_way: u32,
     revoked: u32,
-    limbo: u32,
+    unresolved: u32,
     /// A worker had shown it, and it is nowhere now.
     lost: bool,
     /// When the first of its machines goes.
@@ -70,7 +70,7 @@
 
 impl Presence {
     fn is_empty(&self) -> bool {
-        self.on + self.under_way + self.revoked + self.limbo == 0
+        self.on + self.under_way + self.revoked + self.unresolved == 0
     }
 }
 
@@ -122,9 +122,9 @@
                 p.revoked += 1;
             }
         }
-        for t in &self.limbo {
+        for t in &self.unresolved {
             if let Some(p) = gangs.get_mut(&t.job) {
-                p.limbo += 1;
+                p.unresolved += 1;
             }
         }
         for (id, p) in gangs {
@@ -141,7 +141,7 @@
         }
         // If one task is done all are, and what is left of them goes when that is on record.
         let Some(job) = ctx.ledger.jobs.get(&id) else { return };
-        if ctx.finished.contains_key(&id) || p.limbo > 0 || !job.progress.done.is_empty() {
+        if ctx.finished.contains_key(&id) || p.unresolved > 0 || !job.progress.done.is_empty() {
             return;
         }
         if let Some(halt) = self.halts.get(&id) {
@@ -205,10 +205,10 @@
     }
 
     /// Whether a gang may be granted now, as a whole or, while it gathers, what is missing of it.
-    pub(super) fn gang_tries(&self, job: &Job, held: u32, limbo: u32) -> u32 {
+    pub(super) fn gang_tries(&self, job: &Job, held: u32, unresolved: u32) -> u32 {
         let id = job.spec.r#ref;
-        let missing = job.spec.pieces.saturating_sub(held + limbo);
-        let open = job.progress.done.is_empty() && limbo == 0 && !self.halts.contains_key(&id);
+        let missing = job.spec.pieces.saturating_sub(held + unresolved);
+        let open = job.progress.done.is_empty() && unresolved == 0 && !self.halts.contains_key(&id);
         if open && (held == 0 || self.gangs.contains_key(&id)) { missing } else { 0 }
     }
 
--- a/src/lead/importance.rs
+++ b/src/lead/importance.rs
@@ -136,8 +136,8 @@
         let teams: FxHashMap<&str, usize> = teams.map(|(i, t)| (t.name.as_str(), i)).collect();
         let mut demands = Vec::with_capacity(ctx.ledger.jobs.len());
         for (id, job) in &ctx.ledger.jobs {
-            let (held, limbo) = counts.get(id).copied().unwrap_or_default();
-            let runnable = job.remaining().saturating_sub(held + limbo);
+            let (held, unresolved) = counts.get(id).copied().unwrap_or_default();
+            let runnable = job.remaining().saturating_sub(held + unresolved);
             let Some(team) = teams.get(job.spec.owner.as_str()).copied() else {
                 continue;
             };
@@ -147,7 +147,7 @@
             let mut rank = ranks.get(id).copied().unwrap_or(u32::MAX);
             let mut weight = weight(ctx, job, self.run_s(job), required.contains(id));
             let mut tries = match job.spec.shape {
-                Shape::Gang => self.gang_tries(job, held, limbo),
+                Shape::Gang => self.gang_tries(job, held, unresolved),
                 Shape::Sweep | Shape::Service => tries,
             };
             let at_limit = at_limit.get(team).copied().unwrap_or(false);
--- a/src/lead/limits.rs
+++ b/src/lead/limits.rs
@@ -63,7 +63,7 @@
     }
 
     /// Adds what may be on machines that have not reported in this term: no more than they
-    /// hold, and of a team no more than the tasks it may have there, which are those in limbo
+    /// hold, and of a team no more than the tasks it may have there, which are the unresolved ones
     /// and those of its cancelled jobs.
     fn add_unsettled(
         &self,
@@ -92,7 +92,7 @@
             }
         };
         let mut by_job: FxHashMap<JobId, u64> = FxHashMap::default();
-        for t in &self.limbo {
+        for t in &self.unresolved {
             *by_job.entry(t.job).or_default() += 1;
         }
         for (job, tasks) in by_job {
--- a/src/lead/tests.rs
+++ b/src/lead/tests.rs
@@ -90,7 +90,7 @@
         machines,
         strays: vec![],
         failing: vec![],
-        reborn: vec![],
+        restarted: vec![],
         finished: vec![],
         notices: vec![],
         follow: None,
@@ -133,7 +133,7 @@
         machines: vec![view("n-1", true, &[])],
         strays: vec![],
         failing: vec![],
-        reborn: vec![],
+        restarted: vec![],
         finished: vec![],
         notices: vec![],
         follow: None,
@@ -315,7 +315,7 @@
         list(&mut core, 500, &["n-1", "n-2"], None, false);
         list(&mut core, second, &["n-1"], after, truncated);
         core.rights.confirm_renewal(Steady(when));
-        core.lead.as_mut().unwrap().limbo.clear();
+        core.lead.as_mut().unwrap().unresolved.clear();
         tell(&mut core, when, 0, vec![view("n-1", true, &[])]);
         let gone = core.with_lead(at(when), |l, ctx| {
             let n2 = MachineId::new("n-2");
@@ -346,7 +346,7 @@
 }
 
 #[test]
-fn what_is_on_record_ahead_is_in_limbo_for_others_only() {
+fn what_is_on_record_ahead_is_unresolved_for_others_only() {
     let mut core = leader();
     let accepted = Accepted { spec: spec(2, 20), at: Wall(1) };
     let item = |path: String, v| Item { path, v, stamp: Revision(10) };
@@ -374,10 +374,10 @@
     items.iter().for_each(|i| core.ledger.load(i, &mut brought));
     let all = core.ledger.granted_before();
     core.follow(at(2_000), &Brought { lead: true, ..Brought::default() });
-    let limbo = &core.lead.as_ref().unwrap().limbo;
+    let unresolved = &core.lead.as_ref().unwrap().unresolved;
     let of_two = |t: &&TaskId| t.job == JobId(2);
-    assert_eq!(limbo.iter().filter(of_two).count(), granted.len());
-    assert!(granted.iter().all(|t| limbo.contains(t)));
+    assert_eq!(unresolved.iter().filter(of_two).count(), granted.len());
+    assert!(granted.iter().all(|t| unresolved.contains(t)));
     assert_eq!(all.iter().filter(of_two).count(), recorded.len() as usize, "others");
 }
 
@@ -442,7 +442,7 @@
 }
 
 #[test]
-fn a_task_in_limbo_waits_for_every_machine_that_may_have_it() {
+fn an_unresolved_task_waits_for_every_machine_that_may_have_it() {
     let mut core = leader();
     let seen = |settled| vec![view("n-1", settled, &[]), view("n-2", true, &[])];
     assert!(!tell(&mut core, 1_100, 0, vec![]));
--- a/src/part.rs
+++ b/src/part.rs
@@ -146,9 +146,9 @@
     /// of jobs that were cancelled.
     stopping: BTreeSet<MachineId>,
     /// Machines that were restarted and count from the start again.
-    reborn: BTreeSet<MachineId>,
+    restarted: BTreeSet<MachineId>,
     answered: BTreeMap<MachineId, Steady>,
-    sent_away: HashMap<MachineId, Steady>,
+    released_workers: HashMap<MachineId, Steady>,
     faults: HashMap<JobId, JobFaults>,
     /// Tasks that completed and whose outcome is not known to be durable yet.
     pub finished: BTreeMap<JobId, Finished>,
@@ -176,9 +176,9 @@
             doubted: HashMap::new(),
             doubts: Vec::new(),
             stopping: BTreeSet::new(),
-            reborn: BTreeSet::new(),
+            restarted: BTreeSet::new(),
             answered: BTreeMap::new(),
-            sent_away: HashMap::new(),
+            released_workers: HashMap::new(),
             faults: HashMap::new(),
             finished: BTreeMap::new(),
             number: 0,
@@ -264,7 +264,7 @@
         // or is gone with the machine.
         self.machines.retain(|id, _| owners.get(id) == Some(&me));
         followed.strays.retain(|id, _| owners.get(id) != Some(&me));
-        self.reborn.retain(|id| owners.contains_key(id));
+        self.restarted.retain(|id| owners.contains_key(id));
     }
 
     /// Forgets the tasks of sessions whose lease has run out.
@@ -319,14 +319,14 @@
             self.doubt(env.now, report);
             return ReportAnswer::Refuse;
         }
-        if !self.heeds(env, report) {
+        if !self.accepts_answers(env, report) {
             return ReportAnswer::Refuse;
         }
         match self.responsibility(&report.host) {
             Responsibility::Own => {
                 // Whoever still reaches the store may have taken its machines over. A worker
                 // that comes back found nobody, as in an outage, and is kept alive here.
-                if env.alone && self.sends_away(env.now, &report.host) {
+                if env.alone && self.releases_worker(env.now, &report.host) {
                     let next = (usize::from(self.me.0) + 1) % env.nodes.len().max(1);
                     return self.go(env, next);
                 }
@@ -482,7 +482,7 @@
                 |p: &Piece| matches!(p.cause, Some(Cause::NoRoom | Cause::InUse | Cause::Unknown));
             let shown = report.pieces.iter().filter(|p| !refused(p)).map(|p| (p.piece, p.r#try));
             let plan = &self.followed.plan;
-            self.followed.spent.extend(shown.filter(|p| plan.grants_gang(p.1)));
+            self.followed.shown_gang_attempts.extend(shown.filter(|p| plan.grants_gang(p.1)));
         }
         freed
     }
--- a/src/part/announce.rs
+++ b/src/part/announce.rs
@@ -21,7 +21,7 @@
     /// Only the machine itself can tell.
     pub(super) fn doubt(&mut self, now: Steady, report: &Report) {
         let id = &report.host;
-        if self.reborn.contains(id)
+        if self.restarted.contains(id)
             || self.doubted.get(id).is_some_and(|at| now.since(*at) < DOUBT_AGAIN_MS)
         {
             return;
@@ -137,7 +137,7 @@
         self.note_finished(env.now, env.ledger, report);
         if asked.doubted.is_some_and(|newest| (report.session, report.sequence) <= newest) {
             tracing::info!(machine = %id, "was restarted");
-            self.reborn.insert(id.clone());
+            self.restarted.insert(id.clone());
             self.news = true;
             return;
         }
--- a/src/part/followed.rs
+++ b/src/part/followed.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
-use super::redirect::{Redirected, StrayRecord, Unheeded};
+use super::redirect::{Redirected, StrayRecord, Unacknowledged};
 use super::start::{GrantedStart, MachineKind};
 use crate::model::{Attempt, MachineId, NodeId, PlanSeq, Steady, TaskId, Term};
 use crate::peer::{Grant, PlanBody, Stop};
@@ -138,7 +138,7 @@
     /// Owners of machines; empty before the first plan.
     pub(super) owners: BTreeMap<MachineId, NodeId>,
     /// Attempts of gangs that a worker has shown in this term: they are never started again.
-    pub(super) spent: HashSet<(TaskId, Attempt)>,
+    pub(super) shown_gang_attempts: HashSet<(TaskId, Attempt)>,
     /// What is to start on a machine with its next report.
     pub(super) queues: BTreeMap<MachineId, Vec<GrantedStart>>,
     /// What is granted ahead and found no machine: any may take it as soon as it has room, the first ones first.
@@ -157,7 +157,7 @@
     /// Whether there may be machines that have to be.
     pub(super) announcing: bool,
     /// Machines that have not shown this term's token.
-    pub(super) unheeded: HashMap<MachineId, Unheeded>,
+    pub(super) unacknowledged: HashMap<MachineId, Unacknowledged>,
     /// Machines that were sent to their owners.
     pub(super) redirected: HashMap<MachineId, Redirected>,
     /// Machines of other parts that report here.
@@ -173,7 +173,7 @@
             plan: FollowedPlan::none(term),
             clock_ms: 0,
             owners: BTreeMap::new(),
-            spent: HashSet::new(),
+            shown_gang_attempts: HashSet::new(),
             queues: BTreeMap::new(),
             backlog: Vec::new(),
             most_urgent: BTreeMap::new(),
@@ -183,7 +183,7 @@
             acknowledged: None,
             announced: HashMap::new(),
             announcing: false,
-            unheeded: HashMap::new(),
+            unacknowledged: HashMap::new(),
             redirected: HashMap::new(),
             strays: BTreeMap::new(),
         }
--- a/src/part/redirect.rs
+++ b/src/part/redirect.rs
@@ -19,8 +19,8 @@
 
 const AGAIN_MS: u64 = 1_500;
 
-/// Time for which a lonely node does not send a machine away again.
-pub(super) const SENT_AWAY_MS: u64 = 20_000;
+/// Time for which an isolated node does not send a machine away again.
+pub(super) const RELEASED_MS: u64 = 20_000;
 
 /// When a machine was last sent to its owner.
 #[derive(Clone, Debug)]
@@ -43,7 +43,7 @@
 
 /// How a machine that has not shown this term's token was answered in it.
 #[derive(Clone, Debug)]
-pub(super) struct Unheeded {
+pub(super) struct Unacknowledged {
     pub(super) first: Steady,
     pub(super) session: Session,
     pub(super) answers: u32,
@@ -68,28 +68,36 @@
         name.map_or(ReportAnswer::Refuse, ReportAnswer::Go)
     }
 
-    /// Whether a lonely node sends a machine of its own away: not again for a while, as every
+    /// Whether an isolated node sends a machine of its own away: not again for a while, as every
     /// try takes from the worker's lease.
-    pub(super) fn sends_away(&mut self, now: Steady, id: &MachineId) -> bool {
-        if self.sent_away.get(id).is_some_and(|at| now.since(*at) < SENT_AWAY_MS) {
+    pub(super) fn releases_worker(&mut self, now: Steady, id: &MachineId) -> bool {
+        if self.released_workers.get(id).is_some_and(|at| now.since(*at) < RELEASED_MS) {
             return false;
         }
-        self.sent_away.insert(id.clone(), now);
+        self.released_workers.insert(id.clone(), now);
         true
     }
 
     /// Whether a machine may be taken to hear its answers. One that never shows the token is
     /// deaf, or somebody repeats old reports of it: it gets no answer for a whole lease, so
     /// that its tasks are proven gone and no proof waits for it.
-    pub(super) fn heeds(&mut self, env: &Surroundings<'_>, report: &Report) -> bool {
+    pub(super) fn accepts_answers(&mut self, env: &Surroundings<'_>, report: &Report) -> bool {
         if report.token == self.followed.term {
-            self.followed.unheeded.remove(&report.host);
+            self.followed.unacknowledged.remove(&report.host);
             return true;
         }
         let now = env.now;
-        let fresh =
-            Unheeded { first: now, session: report.session, answers: 0, refuse_until: Steady(0) };
-        let u = self.followed.unheeded.entry(report.host.clone()).or_insert_with(|| fresh.clone());
+        let fresh = Unacknowledged {
+            first: now,
+            session: report.session,
+            answers: 0,
+            refuse_until: Steady(0),
+        };
+        let u = self
+            .followed
+            .unacknowledged
+            .entry(report.host.clone())
+            .or_insert_with(|| fresh.clone());
         if u.refuse_until > now {
             return false;
         }
--- a/src/part/start.rs
+++ b/src/part/start.rs
@@ -270,13 +270,14 @@
                 pauses = true;
                 continue;
             }
-            let spent =
-                |t: &TaskId| g.attempt.is_some_and(|a| self.followed.spent.contains(&(*t, a)));
+            let shown = |t: &TaskId| {
+                g.attempt.is_some_and(|a| self.followed.shown_gang_attempts.contains(&(*t, a)))
+            };
             let tasks: Vec<TaskId> = g
                 .tasks
                 .iter()
                 .map(|index| TaskId { job: g.job(), index })
-                .filter(|t| !held.contains(t) && self.may_start(env.ledger, *t) && !spent(t))
+                .filter(|t| !held.contains(t) && self.may_start(env.ledger, *t) && !shown(t))
                 .collect();
             if !tasks.is_empty() {
                 by_urgency.push((job.spec.urgency, g, tasks));
--- a/src/part/summary.rs
+++ b/src/part/summary.rs
@@ -2,7 +2,7 @@
 
 use super::Part;
 use super::machine::Machine;
-use super::redirect::SENT_AWAY_MS;
+use super::redirect::RELEASED_MS;
 use crate::config::Pace;
 use crate::model::{MachineId, Steady, Term};
 use crate::peer::{MachineView, Stray, Summary, TaskView};
@@ -44,7 +44,7 @@
         let kept_ms = pace.stray_ms + 7_000;
         self.followed.strays.retain(|_, s| now.since(s.last) < kept_ms);
         self.followed.redirected.retain(|_, r| now.since(r.at) < kept_ms);
-        self.sent_away.retain(|_, at| now.since(*at) < SENT_AWAY_MS);
+        self.released_workers.retain(|_, at| now.since(*at) < RELEASED_MS);
         self.answered.retain(|_, at| now.since(*at) < pace.answers_ms);
         self.sent.push_back((self.number, now));
         if self.sent.len() > 64 {
@@ -100,7 +100,7 @@
             answered,
             strays,
             finished: self.finished.iter().map(|(j, f)| (j.0, f.tasks.clone())).collect(),
-            reborn: self.reborn.iter().cloned().collect(),
+            restarted: self.restarted.iter().cloned().collect(),
             notices: self
                 .machines
                 .iter()
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -1,7 +1,7 @@
 //! Tables of cases for what a part answers and tells.
 
 use super::followed::{Announced, GrantKind};
-use super::redirect::{Redirected, StrayRecord, Unheeded};
+use super::redirect::{Redirected, StrayRecord, Unacknowledged};
 use super::start::GrantedStart;
 use super::*;
 use crate::config::Settings;
@@ -144,7 +144,7 @@
         hear(&mut core, 1_200, &report(1, 2, 0, None));
         assert!(core.to_announce(Steady(1_200), 8).is_empty(), "it is asked once in a while");
         core.on_announced(Steady(1_300), &asked[0], &report(session, sequence, 3, None));
-        let told = core.summary(Steady(1_300), 900_000).reborn;
+        let told = core.summary(Steady(1_300), 900_000).restarted;
         assert_eq!(!told.is_empty(), restarted, "{session} {sequence}");
     }
 }
@@ -544,7 +544,7 @@
     followed.plan = FollowedPlan::new(TERM, PlanSeq(2), body);
     followed.clock_ms = 5;
     followed.attempts.give();
-    followed.spent.insert((TASK, attempt));
+    followed.shown_gang_attempts.insert((TASK, attempt));
     let start = GrantedStart {
         task: TASK,
         attempt: None,
@@ -559,9 +559,13 @@
     followed.acknowledged = Some((1, Steady(5)));
     followed.announced.insert(machine(), Announced { times: 1, at: Steady(5) });
     followed.announcing = true;
-    let unheeded =
-        Unheeded { first: Steady(5), session: Session(1), answers: 1, refuse_until: Steady(0) };
-    followed.unheeded.insert(machine(), unheeded);
+    let unacknowledged = Unacknowledged {
+        first: Steady(5),
+        session: Session(1),
+        answers: 1,
+        refuse_until: Steady(0),
+    };
+    followed.unacknowledged.insert(machine(), unacknowledged);
     let redirected = Redirected { at: Steady(5), tries: 1, seen: false };
     followed.redirected.insert(machine(), redirected);
     let stray = StrayRecord {
@@ -580,9 +584,9 @@
     part.doubted.insert(machine(), Steady(5));
     part.doubts.push((machine(), Session(1)));
     part.stopping.insert(machine());
-    part.reborn.insert(machine());
+    part.restarted.insert(machine());
     part.answered.insert(machine(), Steady(5));
-    part.sent_away.insert(machine(), Steady(5));
+    part.released_workers.insert(machine(), Steady(5));
     part.faults.insert(JobId(1), JobFaults::default());
     let finished = Finished { tasks: Ranges::span(0, 1), since: Steady(5) };
     part.finished.insert(JobId(1), finished);
@@ -606,7 +610,7 @@
             plan,
             clock_ms,
             owners,
-            spent,
+            shown_gang_attempts,
             queues,
             backlog,
             most_urgent,
@@ -616,7 +620,7 @@
             acknowledged,
             announced,
             announcing,
-            unheeded,
+            unacknowledged,
             redirected,
             strays,
         } = &core.part.followed;
@@ -629,11 +633,11 @@
         assert!(!plan.grants().is_empty() && !plan.ahead().is_empty());
         assert!(plan.is_kept(&kept_for_gangs) && plan.is_slow(&kept_for_gangs));
         assert!(plan.is_drained(&kept_for_gangs) && plan.grants_gang(Attempt(7)));
-        assert!(!owners.is_empty() && !spent.is_empty() && !queues.is_empty());
+        assert!(!owners.is_empty() && !shown_gang_attempts.is_empty() && !queues.is_empty());
         assert!(!backlog.is_empty() && !most_urgent.is_empty() && *reassign && *unplaced);
         assert!(acknowledged.is_some() && !announced.is_empty() && *announcing);
         assert!(*clock_ms > 0 && *assigned > Steady(0));
-        assert!(!unheeded.is_empty() && !redirected.is_empty() && !strays.is_empty());
+        assert!(!unacknowledged.is_empty() && !redirected.is_empty() && !strays.is_empty());
 
         begin_next_term(&mut core, way);
         let me = core.me;
@@ -647,9 +651,9 @@
             doubted,
             doubts,
             stopping,
-            reborn,
+            restarted,
             answered,
-            sent_away,
+            released_workers,
             faults,
             finished,
             number,
@@ -664,11 +668,11 @@
         // Told to users only, and grants nothing.
         assert_eq!((told_progress.standings.len(), told_progress.completed.len()), (1, 1));
         // Seen here: where tasks are, which reports are late copies, who counts from the start again.
-        assert_eq!((machines.len(), latest.len(), reborn.len()), (1, 1, 1), "{way:?}");
+        assert_eq!((machines.len(), latest.len(), restarted.len()), (1, 1, 1), "{way:?}");
         assert!(machines.values().all(|m| !m.is_settled(NEXT_TERM)), "{way:?}");
         assert_eq!((doubted.len(), doubts.len(), stopping.len()), (1, 1, 1), "{way:?}");
         // Done here: leases count from these answers whoever leads.
-        assert_eq!((answered.len(), sent_away.len(), heard), (1, 1, Steady(5)), "{way:?}");
+        assert_eq!((answered.len(), released_workers.len(), heard), (1, 1, Steady(5)), "{way:?}");
         // True whoever leads.
         assert_eq!((finished.len(), faults.len()), (1, 1), "{way:?}");
         // Summaries are numbered for the whole life of the process.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -154,7 +154,8 @@
     /// Machines that report to it without being of its part.
     pub strays: Vec<Stray>,
     /// Machines that were restarted and count their reports from the start again.
-    pub reborn: Vec<MachineId>,
+    #[serde(rename = "reborn")]
+    pub restarted: Vec<MachineId>,
     /// Jobs that fail wherever they are tried.
     pub failing: Vec<u64>,
     /// Tasks that completed and are not known to be on record yet.
--- a/src/service/epochs.rs
+++ b/src/service/epochs.rs
@@ -79,7 +79,7 @@
                 }
                 Err(e) => {
                     debug!(error = %e, "epoch not written");
-                    self.heed(&e);
+                    self.note_refused_write(&e);
                     return;
                 }
             }
@@ -95,7 +95,7 @@
     }
 
     /// Writes less at once when the store calls a write malformed.
-    pub(super) fn heed(&self, e: &StateError) {
+    pub(super) fn note_refused_write(&self, e: &StateError) {
         if matches!(e, StateError::Malformed(400)) {
             self.core.borrow_mut().tighten();
         }
--- a/src/service/writes.rs
+++ b/src/service/writes.rs
@@ -39,7 +39,7 @@
                     Ok(Committed::No(failed)) => txn.leave_out(&failed),
                     Err(e) => {
                         debug!(error = %e, "completions not written");
-                        self.heed(&e);
+                        self.note_refused_write(&e);
                         let _ = self.pull(Duration::ZERO).await;
                         break;
                     }
@@ -111,7 +111,7 @@
                 }
                 Err(e) => {
                     debug!(error = %e, "submissions not written");
-                    self.heed(&e);
+                    self.note_refused_write(&e);
                     break;
                 }
             }
--- a/tests/upgrade/main.rs
+++ b/tests/upgrade/main.rs
@@ -81,7 +81,7 @@
         machines: vec![view],
         answered: vec![(machine("n-000001"), 15)],
         strays: vec![stray],
-        reborn: vec![machine("n-000002")],
+        restarted: vec![machine("n-000002")],
         failing: vec![398],
         finished: vec![(412, Ranges::span(0, 3))],
         notices: vec![],
