--- a/src/lead/tests.rs
+++ b/src/lead/tests.rs
@@ -116,6 +116,37 @@
     assert!(tell(&mut core, 1_900, 1, both(&[])), "n-1 says itself that it is not there");
 }
 
+#[test]
+fn a_task_that_two_machines_show_is_noticed() {
+    // In production a controller owned both machines for seven seconds, and nobody said a word.
+    // (tasks on n-1, tasks on n-2, whether n-2 has settled, tasks on both)
+    type Case = (&'static [u32], &'static [u32], bool, &'static [u32]);
+    let cases: [Case; 4] = [
+        (&[0], &[], true, &[]),
+        (&[0], &[0], true, &[0]),
+        (&[0, 1], &[1, 2], true, &[1]),
+        (&[0], &[0], false, &[]), // what it seems to hold proves nothing
+    ];
+    for (first, second, settled, both) in cases {
+        let mut core = leader();
+        tell(&mut core, 1_100, 0, vec![]);
+        tell(&mut core, 1_300, 1, vec![view("n-1", true, first), view("n-2", settled, second)]);
+        let fleet = &core.lead.as_ref().unwrap().fleet;
+        let found = fleet.doubled(&fleet.on_machines());
+        let found: Vec<u32> = found.iter().map(|d| d.task.index).collect();
+        assert_eq!(found, both, "{first:?} {second:?} {settled}");
+    }
+}
+
+#[test]
+fn a_proof_names_controllers_plans_and_machines() {
+    let mut core = leader();
+    tell(&mut core, 1_100, 0, vec![]);
+    tell(&mut core, 1_300, 1, vec![view("n-1", true, &[]), view("n-2", true, &[])]);
+    let proof = core.lead.as_ref().unwrap().fleet.proof().to_string();
+    assert_eq!(proof, "node 0: 2 by plan 1; leases ended: 0; gone: 0");
+}
+
 fn summary(number: u64, base: u64, life: Incarnation) -> Summary {
     Summary {
         node: NodeId(1),
