Owners and silent machines are modules of fleet; moves only

Need: fleet.rs had grown to 870 lines with the machines that are given to who hears them. It is 540 now; ownership (owners, when a new term is needed) and silence (proofs by leases, returns) have 200 and 160. Nothing behaves differently.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -10,42 +10,28 @@
 use crate::config::Pace;
 use crate::context::Context;
 use crate::model::{Incarnation, MachineId, NodeId, PlanSeq, Session, Steady, TaskId};
-use crate::peer::{MachineView, OwnerNews, Summary};
+use crate::peer::{MachineView, Summary};
 use crate::place::Room;
-use crate::term::{last_right, plus_drift};
 use crate::wire::{self, HostList, PieceStage};
 
+mod ownership;
 mod proof;
+mod silence;
 
 /// A controller that has not been heard for that long is taken as lost.
 pub const NODE_LOST_MS: u64 = 3_000;
 /// A controller that the store has not served for that long hands its machines over; for half
 /// of it, nothing new is granted to it.
 const UNSERVED_MS: u64 = 5_000;
-/// How long a stray must have been unable to reach its owner before it is moved.
-const STRAY_MS: u64 = 2_500;
-/// The same when it is one of a few, which may be at fault themselves: moving it costs a term.
-const FEW_STRAYS_MS: u64 = 12_000;
 /// Time within which a machine must lose its session twice to be taken for one that is not
 /// worth keeping.
 const LOSING_MS: u64 = 60_000;
-/// Part of the machines, and least number of them, that are cut off rather than dead when
-/// they are silent together; how long they are waited for then.
-const MANY_PART: usize = 6;
+/// Least number of machines that are cut off rather than dead when they are silent together.
 const MANY_LEAST: usize = 8;
-const CUT_OFF_MS: u64 = 60_000;
 /// How long a controller that hears no workers gets no part.
 const UNHEARD_MS: u64 = 60_000;
-/// How long a machine that could not reach its owner is given to the controller that heard it.
-const REASSIGNED_MS: u64 = 60_000;
 /// A controller hears workers if one reported within that time.
 const HEARS_MS: u64 = 2_000;
-/// Part of the machines that are returned when only they keep a proof waiting; how long that is
-/// waited for beyond a report. In a small fleet one machine is much of it.
-const FEW_PART: usize = 50;
-const FEW_WAIT_MS: u64 = 6_000;
-/// Silence beyond a lease after which a machine is returned though the term is young.
-const LONG_SILENT_MS: u64 = 3_000;
 /// What is added to twice the lag of the cloud's list before a machine counts as missing in it.
 const LIST_MARGIN_MS: u64 = 2_000;
 /// Removed machines of which parts are told, before they are told all owners anew.
@@ -443,175 +429,6 @@
         }
     }
 
-    /// Why a new term is needed, if one is: an owner is lost, or machines cannot reach theirs.
-    pub fn wants_new_term(
-        &mut self,
-        now: Steady,
-        served_for: u64,
-        pace: &Pace,
-    ) -> Option<&'static str> {
-        if now.since(self.began) < NODE_LOST_MS {
-            return None;
-        }
-        let live = self.live(now);
-        if self.owners.values().any(|(o, _)| !live.contains(o)) {
-            return Some("the owner of machines is not heard");
-        }
-        let able = self.able(now);
-        // After an outage for all, the others' last word is still of that time.
-        let calm = served_for > UNSERVED_MS + 2_000;
-        if calm && !able.is_empty() && self.owners.values().any(|(o, _)| !able.contains(o)) {
-            return Some("the store or the workers do not reach the owner of machines");
-        }
-        self.reassign_out_of_reach(now, &live, pace).then_some("machines cannot reach their owner")
-    }
-
-    /// Notes which machines cannot reach their owner and which controller hears them instead, so that it gets them in
-    /// the next term. Says whether they are enough, or have waited long enough, to take one for them.
-    fn reassign_out_of_reach(&mut self, now: Steady, live: &[NodeId], pace: &Pace) -> bool {
-        // They go back to the cloud; no owner would take them.
-        let restarted: Vec<&MachineId> = self.nodes.values().flat_map(|n| &n.restarted).collect();
-        let mut found: Vec<(MachineId, NodeId)> = Vec::new();
-        let mut long = false;
-        for node in live {
-            let Some(state) = self.nodes.get(node) else { continue };
-            for s in &state.strays {
-                if s.since_ms > STRAY_MS
-                    && s.silent_ms < pace.stray_ms
-                    && self.owners.get(&s.id).is_some_and(|(owner, _)| owner != node)
-                    && !self.owner_hears(now, &s.id, s.silent_ms)
-                    && !restarted.contains(&&s.id)
-                {
-                    found.push((s.id.clone(), *node));
-                    long |= s.since_ms > FEW_STRAYS_MS;
-                }
-            }
-        }
-        let takes_term = found.len() > self.owners.len() / 20 || long;
-        if takes_term {
-            let until = now.plus(REASSIGNED_MS);
-            let reassigned = found.into_iter().map(|(id, node)| (id, Reassigned { node, until }));
-            self.reassigned.extend(reassigned);
-        }
-        takes_term
-    }
-
-    /// The controller that hears a machine which could not reach its owner.
-    fn reassigned_to(&self, now: Steady, id: &MachineId, live: &[NodeId]) -> Option<NodeId> {
-        let reassigned = self.reassigned.get(id).filter(|r| r.until > now)?;
-        live.contains(&reassigned.node).then_some(reassigned.node)
-    }
-
-    /// Whether a machine's owner has heard it lately, or later than the controller that heard it
-    /// that many milliseconds ago.
-    fn owner_hears(&self, now: Steady, id: &MachineId, silent_ms: u64) -> bool {
-        let owner = self.owners.get(id).and_then(|(owner, _)| self.nodes.get(owner));
-        let known = owner.and_then(|n| n.machines.get(id));
-        known.is_some_and(|k| now.since(k.heard) < silent_ms.max(STRAY_MS))
-    }
-
-    fn zone_of<'a>(&'a self, ctx: &'a Context<'_>, id: &MachineId) -> Option<&'a str> {
-        let held = self.machines.get(id).map(|m| m.offer.zone.as_str());
-        held.or_else(|| ctx.ledger.machines.get(id).map(|m| m.zone.as_str()))
-    }
-
-    /// The owner of a machine among live controllers: the one that hears it if it could not reach its owner lately,
-    /// else those of its zone if one is up, else all; the highest hash wins.
-    pub fn owner_for(&self, ctx: &Context<'_>, id: &MachineId, live: &[NodeId]) -> Option<NodeId> {
-        if let Some(node) = self.reassigned_to(ctx.now, id, live) {
-            return Some(node);
-        }
-        let zone = self.zone_of(ctx, id);
-        let near: Vec<NodeId> = live
-            .iter()
-            .copied()
-            .filter(|n| zone == ctx.nodes.get(usize::from(n.0)).map(|n| n.zone.as_str()))
-            .collect();
-        let pool = if near.is_empty() { live } else { &near };
-        pool.iter().copied().max_by_key(|n| rendezvous(id, *n))
-    }
-
-    /// Gives every machine without an owner one; `next` is the plan that will say so.
-    pub fn assign(&mut self, ctx: &Context<'_>, next: PlanSeq) {
-        let now = ctx.now;
-        let mut live = self.able(now);
-        live.retain(|id| self.nodes[id].served_ms < UNSERVED_MS * 2 / 5);
-        let replaced = self.replaced.filter(|id| !live.contains(id));
-        let awaited = ctx.ledger.members.keys().filter(|id| Some(**id) != replaced);
-        let expected = awaited.count().min(ctx.nodes.len());
-        if live.is_empty() || (live.len() < expected && now.since(self.began) < 1_000) {
-            return;
-        }
-        let heard_ms = ctx.settings.pace().stray_ms + 2_000;
-        let mut strays: HashMap<MachineId, NodeId> = HashMap::new();
-        let mut found: Vec<(MachineId, Offer)> = Vec::new();
-        for (node, n) in self.nodes.iter().filter(|(id, _)| live.contains(id)) {
-            for s in n.strays.iter().filter(|s| s.silent_ms < heard_ms) {
-                let offer = Offer { hull: s.hull.clone(), zone: s.zone.clone(), spot: s.spot };
-                found.push((s.id.clone(), offer));
-                if s.since_ms > STRAY_MS {
-                    strays.insert(s.id.clone(), *node);
-                }
-            }
-        }
-        for (id, offer) in found {
-            if !self.is_gone(ctx, &id) {
-                self.note_machine(now, &id, offer);
-            }
-        }
-        for (id, m) in &ctx.ledger.machines {
-            if m.gone.is_none() && !self.machines.contains_key(id) && !self.gone.contains(id) {
-                let offer = Offer { hull: m.hull.clone(), zone: m.zone.clone(), spot: m.spot };
-                self.note_machine(now, id, offer);
-                // It may be gone without the record saying so: then it is returned when its
-                // silence has lasted, and does not count as one that still boots.
-                if let Some(known) = self.machines.get_mut(id) {
-                    known.up = m.up;
-                }
-            }
-        }
-        let open: Vec<MachineId> = self
-            .machines
-            .keys()
-            .filter(|id| !self.owners.contains_key(*id) && !self.gone.contains(*id))
-            .cloned()
-            .collect();
-        for id in open {
-            let owner = strays.get(&id).copied().or_else(|| self.owner_for(ctx, &id, &live));
-            if let Some(owner) = owner {
-                self.owners.insert(id, (owner, next));
-            }
-        }
-    }
-
-    /// Owners as a part has to be told that follows that plan.
-    pub fn owner_news(&self, followed: PlanSeq) -> OwnerNews {
-        let lost =
-            self.removed.first().is_some_and(|r| r.1 > followed) && self.removed.len() >= GONE_TOLD;
-        let base = if lost { PlanSeq(0) } else { followed };
-        OwnerNews {
-            base,
-            set: self
-                .owners
-                .iter()
-                .filter(|(_, (_, since))| *since > base || base == PlanSeq(0))
-                .map(|(id, (owner, _))| (id.clone(), *owner))
-                .collect(),
-            gone: self
-                .removed
-                .iter()
-                .filter(|(_, since)| base > PlanSeq(0) && *since > base)
-                .map(|(id, _)| id.clone())
-                .collect(),
-        }
-    }
-
-    /// The newest plan that owners need.
-    pub fn newest(&self) -> PlanSeq {
-        let set = self.owners.values().map(|o| o.1);
-        set.chain(self.removed.iter().map(|r| r.1)).max().unwrap_or_default()
-    }
-
     fn is_gone(&self, ctx: &Context<'_>, id: &MachineId) -> bool {
         self.gone.contains(id) || ctx.ledger.machine_gone(id)
     }
@@ -719,155 +536,6 @@
         }
         self.machines = machines;
     }
-
-    /// Declares machines empty whose lease has certainly run out: every controller says, as of
-    /// a moment a whole lease after the last answer anyone gave, that it gave no later one.
-    pub fn silent_verdicts(&mut self, ctx: &Context<'_>) {
-        let lease = plus_drift(ctx.settings.worker_lease_ms()) + 500;
-        let mut told_until = Steady(u64::MAX);
-        // Nobody tells of answers before that moment; each could be one to any machine.
-        let mut last_other = Steady(0);
-        let kept = ctx.settings.pace().answers_ms;
-        for n in 0..ctx.nodes.len() {
-            let id = NodeId(n as u8);
-            match self.nodes.get(&id) {
-                Some(n) if n.echo_ms > 0 => {
-                    told_until = told_until.min(Steady(n.echo_ms));
-                    // Its predecessor ended before this process started.
-                    last_other = last_other.max(n.at.less(n.up_ms)).max(n.first.less(kept));
-                }
-                _ => match self.absent.get(&id) {
-                    Some((_, since)) => {
-                        told_until = told_until.min(ctx.synced);
-                        let bound = last_right(*since, ctx.settings.keep_alive_ms());
-                        last_other = last_other.max(bound);
-                    }
-                    None => return,
-                },
-            }
-        }
-        let over = |id: &MachineId| {
-            let last = self.heard.get(id).copied().unwrap_or_default().max(last_other);
-            last.plus(lease) < told_until
-        };
-        let lapsed: Vec<(MachineId, Session)> = self
-            .known()
-            .filter(|(k, _, _)| k.view.settled && over(&k.view.id))
-            .map(|(k, _, _)| (k.view.id.clone(), k.view.session))
-            .collect();
-        let silent: Vec<MachineId> = self.unsettled.iter().filter(|id| over(id)).cloned().collect();
-        for (id, session) in lapsed {
-            tracing::warn!(machine = %id, "lease has run out at every controller");
-            self.lapsed.insert(id, session);
-        }
-        for id in silent {
-            tracing::warn!(machine = %id, "lease has run out at every controller");
-            // Its session is over, so nothing of earlier terms runs there; should it come
-            // back, it reports a newer session.
-            self.unsettled.remove(&id);
-        }
-    }
-
-    /// Machines that may be returned now: drained and empty, failed, silent beyond any lease,
-    /// deaf, or never come up. What is on them dies with them, and the cloud's answer proves it.
-    pub fn to_return(&self, ctx: &Context<'_>) -> Vec<MachineId> {
-        let now = ctx.now;
-        let views: HashMap<&MachineId, (&Known, NodeId, &NodeState)> =
-            self.known().map(|(k, id, n)| (&k.view.id, (k, id, n))).collect();
-        let lease = plus_drift(ctx.settings.worker_lease_ms()) + 1_000;
-        // Whoever is up has had a whole lease to report to this term's controllers.
-        let calm = now.since(self.began) > lease;
-        // Whatever an older controller kept alive has had time to come over.
-        let deaf = now.since(self.began) > lease + plus_drift(ctx.settings.keep_alive_ms());
-        let pace = ctx.settings.pace();
-        let quick = pace.quick_ms;
-        // The last few that do not show the token have mostly stopped, and what they may still run
-        // keeps tasks of many jobs waiting for a whole lease.
-        let up = self.machines.values().filter(|m| m.up).count();
-        let few = self.awaited
-            && are_few(self.unsettled.len(), up)
-            && now.since(self.began) > pace.gap_ms + FEW_WAIT_MS;
-        let restarted: HashSet<&MachineId> =
-            self.nodes.values().flat_map(|n| &n.restarted).collect();
-        let all_strays = self.nodes.values().flat_map(|n| &n.strays);
-        let strays: HashSet<&MachineId> =
-            all_strays.filter(|s| s.silent_ms < pace.stray_ms).map(|s| &s.id).collect();
-        let well: Vec<NodeId> =
-            self.nodes.keys().copied().filter(|node| self.hears_well(ctx, *node)).collect();
-        let silent_ms =
-            |id: &MachineId| now.since(self.heard.get(id).copied().unwrap_or(self.began));
-        // Many that fall silent at once are cut off: what they ran is proven over by their
-        // leases, and they will be wanted when they are back, with their images.
-        let mute = self.machines.iter().filter(|(id, m)| m.up && silent_ms(id) > quick).count();
-        let cut_off = mute > (up / MANY_PART).max(MANY_LEAST);
-        let over = |id: &MachineId, m: &FleetMachine| {
-            let startup = ctx.flavors.get(&m.offer.hull).map_or(60.0, |f| f.startup_s);
-            let silent = silent_ms(id);
-            // What ran before it was restarted is over, but nobody can tell its reports from
-            // late copies of earlier ones.
-            if restarted.contains(id) || (m.missing && silent > pace.gap_ms) {
-                return true;
-            }
-            if m.failed || (self.unsettled.contains(id) && (deaf || few && !strays.contains(id))) {
-                return true;
-            }
-            match views.get(id) {
-                Some((k, node, n)) => {
-                    let drained = m.draining.is_some_and(|s| n.followed >= s)
-                        && k.view.tasks.is_empty()
-                        && k.view.settled
-                        && !self.unsettled.contains(id);
-                    let limit = match (cut_off, well.contains(node)) {
-                        (true, _) => lease.max(CUT_OFF_MS),
-                        (false, true) => quick,
-                        (false, false) => lease,
-                    };
-                    let long = silent > lease + LONG_SILENT_MS && now.since(self.began) > HEARS_MS;
-                    drained || (calm && m.losing) || ((calm || long) && silent > limit)
-                }
-                None => {
-                    let never = (startup * 4_000.0).max(90_000.0) as u64;
-                    if m.up {
-                        calm && silent > if cut_off { lease.max(CUT_OFF_MS) } else { lease }
-                    } else {
-                        now.since(m.since) > never && silent > lease
-                    }
-                }
-            }
-        };
-        self.machines
-            .iter()
-            .filter(|(id, m)| over(id, m))
-            .map(|(id, _)| id.clone())
-            .take(100)
-            .collect()
-    }
-
-    /// Whether silence of a machine can only be its own: all controllers are heard, none of
-    /// them restarted lately, and its owner hears others. A machine that is merely cut off
-    /// for longer would lose its tasks with its lease anyway.
-    fn hears_well(&self, ctx: &Context<'_>, owner: NodeId) -> bool {
-        let settled_ms = plus_drift(ctx.settings.worker_lease_ms()) + 5_000;
-        self.nodes.len() == ctx.nodes.len()
-            && self.nodes.values().all(|n| ctx.now.since(n.at) < 1_000 && n.up_ms > settled_ms)
-            && self.known().any(|(k, node, _)| node == owner && ctx.now.since(k.heard) < 2_000)
-    }
-}
-
-/// Whether so many machines of all that are up can be done without.
-fn are_few(machines: usize, up: usize) -> bool {
-    machines <= up / FEW_PART
-}
-
-/// Highest-random-weight hashing of a machine over controllers.
-fn rendezvous(id: &MachineId, node: NodeId) -> u64 {
-    let mut h: u64 = 0xcbf2_9ce4_8422_2325;
-    for b in id.0.bytes().chain([b'#', node.0]) {
-        h = (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3);
-    }
-    h ^= h >> 33;
-    h = h.wrapping_mul(0xff51_afd7_ed55_8ccd);
-    h ^ (h >> 29)
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/src/fleet/ownership.rs
@@ -0,0 +1,199 @@
+//! Which controller owns a machine, and when a new term is needed to change that.
+
+use std::collections::HashMap;
+
+use super::{Fleet, GONE_TOLD, NODE_LOST_MS, Reassigned, UNSERVED_MS};
+use crate::capacity::Offer;
+use crate::config::Pace;
+use crate::context::Context;
+use crate::model::{MachineId, NodeId, PlanSeq, Steady};
+use crate::peer::OwnerNews;
+
+/// How long a stray must have been unable to reach its owner before it is moved.
+const STRAY_MS: u64 = 2_500;
+/// The same when it is one of a few, which may be at fault themselves: moving it costs a term.
+const FEW_STRAYS_MS: u64 = 12_000;
+/// How long a machine that could not reach its owner is given to the controller that heard it.
+const REASSIGNED_MS: u64 = 60_000;
+
+impl Fleet {
+    /// Why a new term is needed, if one is: an owner is lost, or machines cannot reach theirs.
+    pub fn wants_new_term(
+        &mut self,
+        now: Steady,
+        served_for: u64,
+        pace: &Pace,
+    ) -> Option<&'static str> {
+        if now.since(self.began) < NODE_LOST_MS {
+            return None;
+        }
+        let live = self.live(now);
+        if self.owners.values().any(|(o, _)| !live.contains(o)) {
+            return Some("the owner of machines is not heard");
+        }
+        let able = self.able(now);
+        // After an outage for all, the others' last word is still of that time.
+        let calm = served_for > UNSERVED_MS + 2_000;
+        if calm && !able.is_empty() && self.owners.values().any(|(o, _)| !able.contains(o)) {
+            return Some("the store or the workers do not reach the owner of machines");
+        }
+        self.reassign_out_of_reach(now, &live, pace).then_some("machines cannot reach their owner")
+    }
+
+    /// Notes which machines cannot reach their owner and which controller hears them instead, so that it gets them in
+    /// the next term. Says whether they are enough, or have waited long enough, to take one for them.
+    fn reassign_out_of_reach(&mut self, now: Steady, live: &[NodeId], pace: &Pace) -> bool {
+        // They go back to the cloud; no owner would take them.
+        let restarted: Vec<&MachineId> = self.nodes.values().flat_map(|n| &n.restarted).collect();
+        let mut found: Vec<(MachineId, NodeId)> = Vec::new();
+        let mut long = false;
+        for node in live {
+            let Some(state) = self.nodes.get(node) else { continue };
+            for s in &state.strays {
+                if s.since_ms > STRAY_MS
+                    && s.silent_ms < pace.stray_ms
+                    && self.owners.get(&s.id).is_some_and(|(owner, _)| owner != node)
+                    && !self.owner_hears(now, &s.id, s.silent_ms)
+                    && !restarted.contains(&&s.id)
+                {
+                    found.push((s.id.clone(), *node));
+                    long |= s.since_ms > FEW_STRAYS_MS;
+                }
+            }
+        }
+        let takes_term = found.len() > self.owners.len() / 20 || long;
+        if takes_term {
+            let until = now.plus(REASSIGNED_MS);
+            let reassigned = found.into_iter().map(|(id, node)| (id, Reassigned { node, until }));
+            self.reassigned.extend(reassigned);
+        }
+        takes_term
+    }
+
+    /// The controller that hears a machine which could not reach its owner.
+    fn reassigned_to(&self, now: Steady, id: &MachineId, live: &[NodeId]) -> Option<NodeId> {
+        let reassigned = self.reassigned.get(id).filter(|r| r.until > now)?;
+        live.contains(&reassigned.node).then_some(reassigned.node)
+    }
+
+    /// Whether a machine's owner has heard it lately, or later than the controller that heard it
+    /// that many milliseconds ago.
+    fn owner_hears(&self, now: Steady, id: &MachineId, silent_ms: u64) -> bool {
+        let owner = self.owners.get(id).and_then(|(owner, _)| self.nodes.get(owner));
+        let known = owner.and_then(|n| n.machines.get(id));
+        known.is_some_and(|k| now.since(k.heard) < silent_ms.max(STRAY_MS))
+    }
+
+    fn zone_of<'a>(&'a self, ctx: &'a Context<'_>, id: &MachineId) -> Option<&'a str> {
+        let held = self.machines.get(id).map(|m| m.offer.zone.as_str());
+        held.or_else(|| ctx.ledger.machines.get(id).map(|m| m.zone.as_str()))
+    }
+
+    /// The owner of a machine among live controllers: the one that hears it if it could not reach its owner lately,
+    /// else those of its zone if one is up, else all; the highest hash wins.
+    pub fn owner_for(&self, ctx: &Context<'_>, id: &MachineId, live: &[NodeId]) -> Option<NodeId> {
+        if let Some(node) = self.reassigned_to(ctx.now, id, live) {
+            return Some(node);
+        }
+        let zone = self.zone_of(ctx, id);
+        let near: Vec<NodeId> = live
+            .iter()
+            .copied()
+            .filter(|n| zone == ctx.nodes.get(usize::from(n.0)).map(|n| n.zone.as_str()))
+            .collect();
+        let pool = if near.is_empty() { live } else { &near };
+        pool.iter().copied().max_by_key(|n| rendezvous(id, *n))
+    }
+
+    /// Gives every machine without an owner one; `next` is the plan that will say so.
+    pub fn assign(&mut self, ctx: &Context<'_>, next: PlanSeq) {
+        let now = ctx.now;
+        let mut live = self.able(now);
+        live.retain(|id| self.nodes[id].served_ms < UNSERVED_MS * 2 / 5);
+        let replaced = self.replaced.filter(|id| !live.contains(id));
+        let awaited = ctx.ledger.members.keys().filter(|id| Some(**id) != replaced);
+        let expected = awaited.count().min(ctx.nodes.len());
+        if live.is_empty() || (live.len() < expected && now.since(self.began) < 1_000) {
+            return;
+        }
+        let heard_ms = ctx.settings.pace().stray_ms + 2_000;
+        let mut strays: HashMap<MachineId, NodeId> = HashMap::new();
+        let mut found: Vec<(MachineId, Offer)> = Vec::new();
+        for (node, n) in self.nodes.iter().filter(|(id, _)| live.contains(id)) {
+            for s in n.strays.iter().filter(|s| s.silent_ms < heard_ms) {
+                let offer = Offer { hull: s.hull.clone(), zone: s.zone.clone(), spot: s.spot };
+                found.push((s.id.clone(), offer));
+                if s.since_ms > STRAY_MS {
+                    strays.insert(s.id.clone(), *node);
+                }
+            }
+        }
+        for (id, offer) in found {
+            if !self.is_gone(ctx, &id) {
+                self.note_machine(now, &id, offer);
+            }
+        }
+        for (id, m) in &ctx.ledger.machines {
+            if m.gone.is_none() && !self.machines.contains_key(id) && !self.gone.contains(id) {
+                let offer = Offer { hull: m.hull.clone(), zone: m.zone.clone(), spot: m.spot };
+                self.note_machine(now, id, offer);
+                // It may be gone without the record saying so: then it is returned when its
+                // silence has lasted, and does not count as one that still boots.
+                if let Some(known) = self.machines.get_mut(id) {
+                    known.up = m.up;
+                }
+            }
+        }
+        let open: Vec<MachineId> = self
+            .machines
+            .keys()
+            .filter(|id| !self.owners.contains_key(*id) && !self.gone.contains(*id))
+            .cloned()
+            .collect();
+        for id in open {
+            let owner = strays.get(&id).copied().or_else(|| self.owner_for(ctx, &id, &live));
+            if let Some(owner) = owner {
+                self.owners.insert(id, (owner, next));
+            }
+        }
+    }
+
+    /// Owners as a part has to be told that follows that plan.
+    pub fn owner_news(&self, followed: PlanSeq) -> OwnerNews {
+        let lost =
+            self.removed.first().is_some_and(|r| r.1 > followed) && self.removed.len() >= GONE_TOLD;
+        let base = if lost { PlanSeq(0) } else { followed };
+        OwnerNews {
+            base,
+            set: self
+                .owners
+                .iter()
+                .filter(|(_, (_, since))| *since > base || base == PlanSeq(0))
+                .map(|(id, (owner, _))| (id.clone(), *owner))
+                .collect(),
+            gone: self
+                .removed
+                .iter()
+                .filter(|(_, since)| base > PlanSeq(0) && *since > base)
+                .map(|(id, _)| id.clone())
+                .collect(),
+        }
+    }
+
+    /// The newest plan that owners need.
+    pub fn newest(&self) -> PlanSeq {
+        let set = self.owners.values().map(|o| o.1);
+        set.chain(self.removed.iter().map(|r| r.1)).max().unwrap_or_default()
+    }
+}
+
+/// Highest-random-weight hashing of a machine over controllers.
+fn rendezvous(id: &MachineId, node: NodeId) -> u64 {
+    let mut h: u64 = 0xcbf2_9ce4_8422_2325;
+    for b in id.0.bytes().chain([b'#', node.0]) {
+        h = (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3);
+    }
+    h ^= h >> 33;
+    h = h.wrapping_mul(0xff51_afd7_ed55_8ccd);
+    h ^ (h >> 29)
+}
--- /dev/null
+++ b/src/fleet/silence.rs
@@ -0,0 +1,159 @@
+//! Machines that are silent: when what they ran is proven over, and which are returned.
+
+use std::collections::{HashMap, HashSet};
+
+use super::{Fleet, FleetMachine, HEARS_MS, Known, MANY_LEAST, NodeState};
+use crate::context::Context;
+use crate::model::{MachineId, NodeId, Session, Steady};
+use crate::term::{last_right, plus_drift};
+
+/// Part of the machines that are cut off rather than dead when they are silent together; how long they
+/// are waited for then.
+const MANY_PART: usize = 6;
+const CUT_OFF_MS: u64 = 60_000;
+/// Part of the machines that are returned when only they keep a proof waiting; how long that is
+/// waited for beyond a report. In a small fleet one machine is much of it.
+const FEW_PART: usize = 50;
+const FEW_WAIT_MS: u64 = 6_000;
+/// Silence beyond a lease after which a machine is returned though the term is young.
+const LONG_SILENT_MS: u64 = 3_000;
+
+impl Fleet {
+    /// Declares machines empty whose lease has certainly run out: every controller says, as of
+    /// a moment a whole lease after the last answer anyone gave, that it gave no later one.
+    pub fn silent_verdicts(&mut self, ctx: &Context<'_>) {
+        let lease = plus_drift(ctx.settings.worker_lease_ms()) + 500;
+        let mut told_until = Steady(u64::MAX);
+        // Nobody tells of answers before that moment; each could be one to any machine.
+        let mut last_other = Steady(0);
+        let kept = ctx.settings.pace().answers_ms;
+        for n in 0..ctx.nodes.len() {
+            let id = NodeId(n as u8);
+            match self.nodes.get(&id) {
+                Some(n) if n.echo_ms > 0 => {
+                    told_until = told_until.min(Steady(n.echo_ms));
+                    // Its predecessor ended before this process started.
+                    last_other = last_other.max(n.at.less(n.up_ms)).max(n.first.less(kept));
+                }
+                _ => match self.absent.get(&id) {
+                    Some((_, since)) => {
+                        told_until = told_until.min(ctx.synced);
+                        let bound = last_right(*since, ctx.settings.keep_alive_ms());
+                        last_other = last_other.max(bound);
+                    }
+                    None => return,
+                },
+            }
+        }
+        let over = |id: &MachineId| {
+            let last = self.heard.get(id).copied().unwrap_or_default().max(last_other);
+            last.plus(lease) < told_until
+        };
+        let lapsed: Vec<(MachineId, Session)> = self
+            .known()
+            .filter(|(k, _, _)| k.view.settled && over(&k.view.id))
+            .map(|(k, _, _)| (k.view.id.clone(), k.view.session))
+            .collect();
+        let silent: Vec<MachineId> = self.unsettled.iter().filter(|id| over(id)).cloned().collect();
+        for (id, session) in lapsed {
+            tracing::warn!(machine = %id, "lease has run out at every controller");
+            self.lapsed.insert(id, session);
+        }
+        for id in silent {
+            tracing::warn!(machine = %id, "lease has run out at every controller");
+            // Its session is over, so nothing of earlier terms runs there; should it come
+            // back, it reports a newer session.
+            self.unsettled.remove(&id);
+        }
+    }
+
+    /// Machines that may be returned now: drained and empty, failed, silent beyond any lease,
+    /// deaf, or never come up. What is on them dies with them, and the cloud's answer proves it.
+    pub fn to_return(&self, ctx: &Context<'_>) -> Vec<MachineId> {
+        let now = ctx.now;
+        let views: HashMap<&MachineId, (&Known, NodeId, &NodeState)> =
+            self.known().map(|(k, id, n)| (&k.view.id, (k, id, n))).collect();
+        let lease = plus_drift(ctx.settings.worker_lease_ms()) + 1_000;
+        // Whoever is up has had a whole lease to report to this term's controllers.
+        let calm = now.since(self.began) > lease;
+        // Whatever an older controller kept alive has had time to come over.
+        let deaf = now.since(self.began) > lease + plus_drift(ctx.settings.keep_alive_ms());
+        let pace = ctx.settings.pace();
+        let quick = pace.quick_ms;
+        // The last few that do not show the token have mostly stopped, and what they may still run
+        // keeps tasks of many jobs waiting for a whole lease.
+        let up = self.machines.values().filter(|m| m.up).count();
+        let few = self.awaited
+            && are_few(self.unsettled.len(), up)
+            && now.since(self.began) > pace.gap_ms + FEW_WAIT_MS;
+        let restarted: HashSet<&MachineId> =
+            self.nodes.values().flat_map(|n| &n.restarted).collect();
+        let all_strays = self.nodes.values().flat_map(|n| &n.strays);
+        let strays: HashSet<&MachineId> =
+            all_strays.filter(|s| s.silent_ms < pace.stray_ms).map(|s| &s.id).collect();
+        let well: Vec<NodeId> =
+            self.nodes.keys().copied().filter(|node| self.hears_well(ctx, *node)).collect();
+        let silent_ms =
+            |id: &MachineId| now.since(self.heard.get(id).copied().unwrap_or(self.began));
+        // Many that fall silent at once are cut off: what they ran is proven over by their
+        // leases, and they will be wanted when they are back, with their images.
+        let mute = self.machines.iter().filter(|(id, m)| m.up && silent_ms(id) > quick).count();
+        let cut_off = mute > (up / MANY_PART).max(MANY_LEAST);
+        let over = |id: &MachineId, m: &FleetMachine| {
+            let startup = ctx.flavors.get(&m.offer.hull).map_or(60.0, |f| f.startup_s);
+            let silent = silent_ms(id);
+            // What ran before it was restarted is over, but nobody can tell its reports from
+            // late copies of earlier ones.
+            if restarted.contains(id) || (m.missing && silent > pace.gap_ms) {
+                return true;
+            }
+            if m.failed || (self.unsettled.contains(id) && (deaf || few && !strays.contains(id))) {
+                return true;
+            }
+            match views.get(id) {
+                Some((k, node, n)) => {
+                    let drained = m.draining.is_some_and(|s| n.followed >= s)
+                        && k.view.tasks.is_empty()
+                        && k.view.settled
+                        && !self.unsettled.contains(id);
+                    let limit = match (cut_off, well.contains(node)) {
+                        (true, _) => lease.max(CUT_OFF_MS),
+                        (false, true) => quick,
+                        (false, false) => lease,
+                    };
+                    let long = silent > lease + LONG_SILENT_MS && now.since(self.began) > HEARS_MS;
+                    drained || (calm && m.losing) || ((calm || long) && silent > limit)
+                }
+                None => {
+                    let never = (startup * 4_000.0).max(90_000.0) as u64;
+                    if m.up {
+                        calm && silent > if cut_off { lease.max(CUT_OFF_MS) } else { lease }
+                    } else {
+                        now.since(m.since) > never && silent > lease
+                    }
+                }
+            }
+        };
+        self.machines
+            .iter()
+            .filter(|(id, m)| over(id, m))
+            .map(|(id, _)| id.clone())
+            .take(100)
+            .collect()
+    }
+
+    /// Whether silence of a machine can only be its own: all controllers are heard, none of
+    /// them restarted lately, and its owner hears others. A machine that is merely cut off
+    /// for longer would lose its tasks with its lease anyway.
+    fn hears_well(&self, ctx: &Context<'_>, owner: NodeId) -> bool {
+        let settled_ms = plus_drift(ctx.settings.worker_lease_ms()) + 5_000;
+        self.nodes.len() == ctx.nodes.len()
+            && self.nodes.values().all(|n| ctx.now.since(n.at) < 1_000 && n.up_ms > settled_ms)
+            && self.known().any(|(k, node, _)| node == owner && ctx.now.since(k.heard) < 2_000)
+    }
+}
+
+/// Whether so many machines of all that are up can be done without.
+pub(super) fn are_few(machines: usize, up: usize) -> bool {
+    machines <= up / FEW_PART
+}
