Simulation: the checker holds teams to their limits by what workers run

A team's use was looked at when a task began, from the checker's own books. Now the world counts what tasks use on all workers at every step, whatever has become of their jobs; the checker holds that against the limit and against what has begun and left.

Tried on broken histories: over the limit with a task of a cancelled job, over the limit by what workers run alone, workers that run less than has begun; and one that is right, within the limit once such a task has left.

--- a/tests/sim/check.rs
+++ b/tests/sim/check.rs
@@ -67,6 +67,11 @@
         job: u64,
         node: usize,
     },
+    /// What the tasks of a team use, counted over all workers, whatever has become of their jobs.
+    TeamUses {
+        team: usize,
+        cores: u64,
+    },
     Tick,
 }
 
@@ -85,6 +90,8 @@
     cancel_ms: u64,
     team_limit: u64,
     on: BTreeMap<Task, BTreeMap<usize, (usize, u64)>>,
+    /// Cores that each team's tasks use.
+    used: BTreeMap<usize, u64>,
     zones: BTreeMap<Task, &'static str>,
     cancelled: BTreeMap<u64, u64>,
     done: BTreeSet<u64>,
@@ -101,6 +108,8 @@
     asked_to_cancel: BTreeSet<u64>,
     /// Since when a job could have gone on.
     could: BTreeMap<u64, u64>,
+    /// Teams that use more than their limit.
+    over_limit: BTreeSet<usize>,
     /// Starts after a confirmed cancellation, and how long after it the last one was.
     pub late_starts: usize,
     pub latest_start_ms: u64,
@@ -120,6 +129,7 @@
             cancel_ms,
             team_limit,
             on: BTreeMap::new(),
+            used: BTreeMap::new(),
             zones: BTreeMap::new(),
             cancelled: BTreeMap::new(),
             done: BTreeSet::new(),
@@ -130,6 +140,7 @@
             submitted: BTreeSet::new(),
             asked_to_cancel: BTreeSet::new(),
             could: BTreeMap::new(),
+            over_limit: BTreeSet::new(),
             late_starts: 0,
             latest_start_ms: 0,
             broken: Vec::new(),
@@ -152,11 +163,10 @@
                 if on.keys().any(|m| *m != machine) {
                     self.broken.push(format!("{at}: {task:?} on {on:?} starts on {machine}"));
                 }
-                on.insert(machine, (team, cores));
-                let used = self.used(team);
-                if used > self.team_limit {
-                    self.broken.push(format!("{at}: team {team} uses {used}"));
+                if on.insert(machine, (team, cores)).is_none() {
+                    *self.used.entry(team).or_default() += cores;
                 }
+                self.check_limit(at, team, self.used(team));
                 if let Some(cancelled_at) = self.cancelled.get(&task.0) {
                     self.late_starts += 1;
                     self.latest_start_ms = self.latest_start_ms.max(at - cancelled_at);
@@ -165,11 +175,21 @@
                 self.check_cancelled(at, task);
             }
             Event::Leaves { task, machine } => {
-                if let Some(on) = self.on.get_mut(&task) {
-                    on.remove(&machine);
-                    if on.is_empty() {
-                        self.on.remove(&task);
-                    }
+                let Some(on) = self.on.get_mut(&task) else { return };
+                let left = on.remove(&machine);
+                if on.is_empty() {
+                    self.on.remove(&task);
+                }
+                if let Some((team, cores)) = left {
+                    *self.used.entry(team).or_default() -= cores;
+                    self.check_limit(at, team, self.used(team));
+                }
+            }
+            Event::TeamUses { team, cores } => {
+                self.check_limit(at, team, cores);
+                let started = self.used(team);
+                if started != cores {
+                    self.broken.push(format!("{at}: team {team} uses {cores}, began {started}"));
                 }
             }
             Event::Cancelled { job } => {
@@ -270,8 +290,7 @@
 
     /// Cores that a team's tasks use.
     fn used(&self, team: usize) -> u64 {
-        let all = self.on.values().flat_map(|m| m.values());
-        all.filter(|u| u.0 == team).map(|u| u.1).sum()
+        self.used.get(&team).copied().unwrap_or(0)
     }
 
     /// Whether a task is on some machine.
@@ -279,6 +298,15 @@
         self.on.contains_key(&task)
     }
 
+    /// A team that stays over its limit breaks it once.
+    fn check_limit(&mut self, at: u64, team: usize, used: u64) {
+        if used <= self.team_limit {
+            self.over_limit.remove(&team);
+        } else if self.over_limit.insert(team) {
+            self.broken.push(format!("{at}: team {team} uses {used}"));
+        }
+    }
+
     fn check_cancelled(&mut self, at: u64, task: Task) {
         if self
             .cancelled
--- a/tests/sim/histories.rs
+++ b/tests/sim/histories.rs
@@ -13,6 +13,33 @@
         ("clean", vec![(0, start((1, 0), 0)), (5, ends((1, 0), 0)), (6, start((1, 0), 1))], 0),
         ("twice", vec![(0, start((1, 0), 0)), (5, start((1, 0), 1))], 1),
         ("over the limit", (0..5).map(|i| (i, start((1, i as u32), i as usize))).collect(), 1),
+        (
+            "over the limit with a task of a cancelled job",
+            (0..4)
+                .map(|i| (i, start((1, i as u32), i as usize)))
+                .chain([(5, Event::Cancelled { job: 1 }), (6, start((2, 0), 4))])
+                .collect(),
+            1,
+        ),
+        (
+            "within the limit once a task of a cancelled job has left",
+            (0..4)
+                .map(|i| (i, start((1, i as u32), i as usize)))
+                .chain([(5, Event::Cancelled { job: 1 }), (6, ends((1, 0), 0))])
+                .chain([(7, start((2, 0), 4))])
+                .collect(),
+            0,
+        ),
+        (
+            "over the limit by what workers run",
+            vec![(0, Event::TeamUses { team: 0, cores: 20 })],
+            2,
+        ),
+        (
+            "workers run less than has begun",
+            vec![(0, start((1, 0), 0)), (1, Event::TeamUses { team: 0, cores: 0 })],
+            1,
+        ),
         (
             "runs on after its cancellation",
             vec![(0, start((1, 0), 0)), (5, Event::Cancelled { job: 1 }), (31_000, Event::Tick)],
--- a/tests/sim/worker.rs
+++ b/tests/sim/worker.rs
@@ -187,6 +187,11 @@
         runs.map(|((task, _), _)| *task)
     }
 
+    /// How many tasks are on it as the invariants see it: those that have their image and have not ended.
+    pub fn present(&self) -> usize {
+        self.tasks.values().filter(|t| is_there(t.state)).count()
+    }
+
     /// Tasks that are on it or fetch their image.
     pub fn held(&self) -> usize {
         self.tasks.values().filter(|t| t.state != TaskState::Exited).count()
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -48,6 +48,8 @@
 /// How long the leader has to answer once it is suspected.
 const PROBE_MS: u64 = 700;
 const TEAM_LIMIT: u64 = 32;
+/// Cores of each task.
+const TASK_CORES: u64 = 4;
 /// Time in which a gang's tasks notice that one has ended, in milliseconds.
 const GANG_NOTICE_MS: u64 = 2_000;
 
@@ -340,7 +342,7 @@
                     let zone = self.workers[worker].zone;
                     let bound = self.jobs.get(&t.job.0).is_some_and(|j| j.one_zone);
                     let zone = bound.then_some(zone);
-                    Event::Starts { task, machine: worker, team: 0, cores: 4, zone }
+                    Event::Starts { task, machine: worker, team: 0, cores: TASK_CORES, zone }
                 }
                 Change::Leaves(t) | Change::Completes(t) => {
                     Event::Leaves { task: (t.job.0, t.index), machine: worker }
@@ -425,9 +427,17 @@
         self.users();
         self.close_users();
         self.check_waiting_jobs();
+        self.check_team_use();
         self.checker.see(now, Event::Tick);
     }
 
+    /// Shows the checker what the team's tasks use on all workers.
+    fn check_team_use(&mut self) {
+        let tasks: usize = self.workers.iter().map(Worker::present).sum();
+        let cores = tasks as u64 * TASK_CORES;
+        self.checker.see(self.now, Event::TeamUses { team: 0, cores });
+    }
+
     /// Shows the checker which jobs have tasks that wait although a machine has room in every zone and
     /// their team is under its limit.
     fn check_waiting_jobs(&mut self) {
@@ -442,7 +452,7 @@
         // What fetches its image counts as used.
         let there =
             self.workers.iter().filter(|w| !w.terminated).map(Worker::held).sum::<usize>() as u64;
-        let could = room && there * 4 + 4 <= self.team_limit;
+        let could = room && (there + 1) * TASK_CORES <= self.team_limit;
         for id in self.jobs.keys().copied().collect::<Vec<_>>() {
             let accepted = self.store.has(&willowshore::replica::job_key(JobId(id)));
             let open = !self.ended_for_users.contains(&id) && !self.wanted_cancels.contains(&id);
