Failing tests: tasks under way count for no team once their job has ended

leader::tests::quotas: a leader whose team may run one task has granted it, and the job ends while the task is granted, taken back or started and not shown yet. It grants the next job's task at once, in each of the nine cases (cancelled, completed, forgotten).

No behaviour has changed.

--- a/src/leader/tests.rs
+++ b/src/leader/tests.rs
@@ -5,6 +5,7 @@
 mod limits;
 mod machines;
 mod precedence;
+mod quotas;
 mod summaries;
 
 use super::*;
@@ -29,7 +30,12 @@
 
 /// A leader of term 3 with a job of one task that term 2 granted, and two machines.
 fn leader() -> Controller {
-    let settings = Settings::parse(EXAMPLE).unwrap();
+    leader_with(EXAMPLE)
+}
+
+/// The same with these settings.
+fn leader_with(settings: &str) -> Controller {
+    let settings = Settings::parse(settings).unwrap();
     let mut controller = Controller::new(Rc::new(settings), INCARNATION);
     let small = machine_type("small", 8.0, 64.0);
     controller.set_machine_types(&wire::MachineTypes { machine_types: vec![small] });
--- /dev/null
+++ b/src/leader/tests/quotas.rs
@@ -0,0 +1,123 @@
+//! Limits of teams: what counts as used, and until when.
+
+use super::*;
+use crate::replica::Progress;
+use crate::wire::JobState;
+
+/// Whose only task is granted first; it fills the team's limit.
+const FIRST_JOB: JobId = JobId(1);
+/// Whose only task waits for that.
+const SECOND_JOB: JobId = JobId(2);
+
+/// How the first job ends.
+#[derive(Clone, Copy, Debug)]
+enum End {
+    Cancelled,
+    Completed,
+    /// It was cancelled, and so many others were since that its end is not kept any more.
+    Forgotten,
+}
+
+/// Where the first job's task is when its job ends.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stage {
+    /// Its shard has not started it, and does not once it follows the next plan.
+    Granted,
+    /// As above; the grant was not used for so long that it was revoked.
+    Revoked,
+    /// Its start is in a response on its way to the machine, which the shard's next summary shows.
+    Starting,
+}
+
+fn shows(state: Option<TaskState>) -> Vec<MachineView> {
+    let task = TaskId { job: FIRST_JOB, index: 0 };
+    let tasks = state.map(|state| TaskView { task, state }).into_iter().collect();
+    vec![MachineView { tasks, ..view("n-1", true, &[]) }, view("n-2", true, &[])]
+}
+
+fn load(controller: &mut Controller, key: String, value: wire::Value, revision: u64) {
+    let item = KeyValue { key, value, version: Revision(revision) };
+    controller.replica.load(&item, &mut ReplicaChanges::default());
+}
+
+/// A leader whose team may use as much as one task takes, that has granted the first job's task, with the second
+/// job waiting; and the plan that grants it.
+fn leader_at_limit() -> (Controller, u64) {
+    let limit = EXAMPLE.replacen("cpus = 16.0\ncpus_max = 32.0", "cpus = 0.0\ncpus_max = 4.0", 1);
+    let mut controller = leader_with(&limit);
+    run_epoch(&mut controller, 1_100, 0, vec![]);
+    assert!(run_epoch(&mut controller, 1_300, 1, shows(None)), "the first job is granted");
+    let accepted = Accepted { spec: spec(SECOND_JOB.0, 1), at: WallTime(1) };
+    load(&mut controller, replica::job_key(SECOND_JOB), wire::to_value(&accepted), 10);
+    let plan = published(&controller);
+    (controller, plan)
+}
+
+fn confirm_rights(controller: &mut Controller, ms: u64) {
+    controller.rights.confirm_renewal(MonotonicTime(ms));
+    controller.rights.confirm_sync(MonotonicTime(ms));
+}
+
+fn published(controller: &Controller) -> u64 {
+    controller.leader.as_ref().unwrap().plans.seq.0
+}
+
+/// Records that the first job has ended.
+fn end_first_job(controller: &mut Controller, end: End) {
+    let (state, done) = match end {
+        End::Completed => (JobState::Done, TaskRanges::span(0, 1)),
+        End::Cancelled | End::Forgotten => (JobState::Cancelled, TaskRanges::default()),
+    };
+    let progress = Progress { end: Some(state), done, gang: None };
+    load(controller, replica::progress_key(FIRST_JOB), wire::to_value(&progress), 11);
+    if matches!(end, End::Forgotten) {
+        controller.replica.residual_usage.remove(&FIRST_JOB);
+    }
+}
+
+/// Ends the first job at that stage. An error says what the leader counts wrongly.
+fn end_at(stage: Stage, end: End) -> Result<(), &'static str> {
+    let (mut controller, granting) = leader_at_limit();
+    let mut now = 1_500;
+    if stage == Stage::Revoked {
+        for _ in 0..6 {
+            now += 1_000;
+            confirm_rights(&mut controller, now);
+            let granted = run_epoch(&mut controller, now, granting, shows(None));
+            ensure(!granted, "the limit is used")?;
+        }
+    }
+    end_first_job(&mut controller, end);
+    let mut epoch = |applied_plan, state| {
+        now += 200;
+        confirm_rights(&mut controller, now);
+        let granted = run_epoch(&mut controller, now, applied_plan, shows(state));
+        (granted, published(&controller))
+    };
+    let (granted, without) = epoch(granting, None);
+    ensure(!granted, "its shard may still start it, or has")?;
+    ensure(without > granting, "no plan takes the grant back")?;
+    if stage == Stage::Starting {
+        for state in [TaskState::Unknown, TaskState::Running] {
+            ensure(!epoch(without, Some(state)).0, "it is on a machine")?;
+        }
+    }
+    ensure(epoch(without, None).0, "it counts though it is proven to be nowhere")
+}
+
+fn ensure(holds: bool, otherwise: &'static str) -> Result<(), &'static str> {
+    holds.then_some(()).ok_or(otherwise)
+}
+
+#[test]
+fn a_task_under_way_counts_for_its_team_after_its_job_has_ended() {
+    let mut wrong = Vec::new();
+    for end in [End::Cancelled, End::Completed, End::Forgotten] {
+        for stage in [Stage::Granted, Stage::Revoked, Stage::Starting] {
+            if let Err(what) = end_at(stage, end) {
+                wrong.push((stage, end, what));
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
--- a/tests/sim/main.rs
+++ b/tests/sim/main.rs
@@ -9,6 +9,7 @@
 mod gangs;
 mod histories;
 mod load;
+mod quota;
 mod reach;
 mod site;
 mod standby;
--- a/tests/sim/worker.rs
+++ b/tests/sim/worker.rs
@@ -9,7 +9,8 @@
 
 use crate::site::Rhythm;
 
-pub const FETCH_MS: u64 = 700;
+/// How long a worker fetches an image, unless it has it.
+const FETCH_MS: u64 = 700;
 const TIMEOUT_MS: u64 = 4_000;
 const GANG_WAIT_MS: u64 = 30_000;
 
@@ -48,6 +49,8 @@
     checkpoint_commands: Vec<(TaskId, Attempt)>,
     rhythm: u64,
     lease: u64,
+    /// Whether it has all images.
+    pub has_images: bool,
 }
 
 impl Worker {
@@ -70,6 +73,7 @@
             checkpoint_commands: Vec::new(),
             rhythm: rhythm.report_ms,
             lease: rhythm.lease_ms,
+            has_images: false,
         }
     }
 
@@ -192,6 +196,11 @@
         self.tasks.values().filter(|t| is_there(t.state)).count()
     }
 
+    /// Whether a task is on it or fetches its image.
+    pub fn holds(&self, wanted: TaskId) -> bool {
+        self.tasks.iter().any(|((task, _), t)| *task == wanted && t.state != TaskState::Exited)
+    }
+
     /// Tasks that are on it or fetch their image.
     pub fn held(&self) -> usize {
         self.tasks.values().filter(|t| t.state != TaskState::Exited).count()
@@ -329,7 +338,8 @@
                 } else {
                     (TaskState::Exited, Some(ExitReason::InsufficientResources))
                 };
-                let started = Task { state, exit_reason, until: now + FETCH_MS };
+                let fetch_ms = if self.has_images { 0 } else { FETCH_MS };
+                let started = Task { state, exit_reason, until: now + fetch_ms };
                 self.tasks.entry((task, attempt)).or_insert(started);
                 Vec::new()
             }
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -16,7 +16,7 @@
 use willowshore::peer::{self, PeerRequest, PeerResponse, Summary};
 use willowshore::shard::{DirectMessage, HeartbeatOutcome};
 use willowshore::store_client::TxnOutcome;
-use willowshore::wire::{Heartbeat, JobKind, JobSpec, Priority, TaskState, Txn};
+use willowshore::wire::{Heartbeat, JobKind, JobSpec, Priority, TaskState, Txn, WorkerCommand};
 use willowshore_standby::failover::{FailoverCommand, PeerObservation, ProbeOutcome};
 use willowshore_standby::settings::StandbySettings;
 use willowshore_standby::status::VerificationCounts;
@@ -33,9 +33,10 @@
 mod gangs;
 mod messages;
 mod scenarios;
+mod under_way;
 mod users;
 
-pub use faults::Fault;
+pub use faults::{Fault, UnderWay};
 use messages::{Message, Place};
 
 const STEP: u64 = 20;
@@ -131,6 +132,9 @@
     cancels: Vec<(u64, u64)>,
     /// Whether controllers send each other cancellation notices.
     pub sends_cancellation_notices: bool,
+    /// Which jobs users cancel just then, and until when.
+    cancels_under_way: Option<(UnderWay, u64)>,
+    hangs_due: Vec<under_way::DueHang>,
     /// Jobs whose users cancel them a while after they were submitted.
     pub cancel_every: u64,
     /// How long the shortest task runs.
@@ -225,6 +229,8 @@
             just_completed: Vec::new(),
             cancels: Vec::new(),
             sends_cancellation_notices: true,
+            cancels_under_way: None,
+            hangs_due: Vec::new(),
             cancel_every: 0,
             run_ms: 5_000,
             calm: 0,
@@ -358,6 +364,7 @@
             self.store.limits = self.next_limits;
         }
         self.store.tick(now);
+        self.begin_hangs();
         let due: Vec<Txn> = {
             let (due, late) = std::mem::take(&mut self.late).into_iter().partition(|l| l.0 <= now);
             self.late = late;
--- a/tests/sim/world/faults.rs
+++ b/tests/sim/world/faults.rs
@@ -2,6 +2,17 @@
 
 use super::*;
 
+/// How far a task has come whose job is cancelled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnderWay {
+    /// Its shard gets the grant, and is cut off from the store and the other controllers.
+    Granted,
+    /// Its machine gets the start, and is cut off from all controllers.
+    Started,
+    /// The same, and the machine hangs.
+    StartedAndHangs,
+}
+
 /// A failure, for so many milliseconds where it lasts.
 #[derive(Clone, Copy, Debug)]
 pub enum Fault {
@@ -80,6 +91,8 @@
     /// Heartbeats are copied for that long, and the copies reach every controller 200 ms after the next
     /// leader has begun.
     LateCopiesForNextLeader(u64),
+    /// For that long users cancel some jobs just as one of their tasks is under way.
+    CancelUnderWay(UnderWay, u64),
     /// Users cancel that many jobs that run; up to eight of their machines hang that long.
     CancelNow(usize, u64),
     /// Jobs are cancelled at the moment of their end.
@@ -124,6 +137,7 @@
             Fault::LateWrites(ms) => ms + 12_000,
             Fault::LateCopiesForNextLeader(ms) => ms,
             Fault::LateCopies(ms) => ms + 70_000,
+            Fault::CancelUnderWay(_, ms) => ms + 20_000,
             _ => 0,
         }
     }
@@ -442,6 +456,7 @@
                 self.last_leader = self.leads();
             }
             Fault::CancelNow(count, hang_ms) => self.cancel_now(count, hang_ms),
+            Fault::CancelUnderWay(what, ms) => self.cancels_under_way = Some((what, now + ms)),
             Fault::CancelAtEnd(ms) => self.cancel_at_end_until = now + ms,
             Fault::AggressivePolling(ms) => self.looks_until = now + ms,
             Fault::FastBoots(count) => self.quick_boots(count),
--- a/tests/sim/world/messages.rs
+++ b/tests/sim/world/messages.rs
@@ -161,8 +161,13 @@
                         jobs.get(&job.0).map(|j| j.priority)
                     });
                 }
+                let commands = match &answer {
+                    Answer::Take(reply) => reply.commands.clone(),
+                    Answer::Go(_) | Answer::Refuse => Vec::new(),
+                };
                 let changes = self.workers[w].answer(now, sequence, answer);
                 self.see(w, changes);
+                self.cancel_started(w, &commands);
             }
             Message::Summary(from, to, summary, sent) => {
                 let Ok(node) = &mut self.nodes[to] else { return };
@@ -205,6 +210,7 @@
                 }
             }
             Message::PeerResponse(to, response, sent) => {
+                self.cancel_granted(to, &response);
                 if let Ok(node) = &mut self.nodes[to] {
                     match sent {
                         Some(sent) => node.controller.record_leader_response(sent, &response),
--- a/tests/sim/world/scenarios.rs
+++ b/tests/sim/world/scenarios.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Jobs of [`World::at_limit`].
+const JOBS_AT_LIMIT: u64 = 40;
+
 /// Jobs of [`World::saturated`], and the cores that their team may use: more than all machines have.
 const SATURATED_JOBS: u64 = 40;
 const SATURATED_LIMIT: u64 = 1_000;
@@ -108,6 +111,16 @@
         world
     }
 
+    /// A world with room on its machines whose team is at its limit as long as jobs come.
+    pub fn at_limit(seed: u64, rhythm: Rhythm) -> Self {
+        let mut world = World::new(seed, rhythm);
+        world.every = 1_000;
+        let job = |id: u64| JobSpec { spread_zones: false, ..spec(id, 2 + id as u32 % 3, 8.0) };
+        world.jobs = (1..=JOBS_AT_LIMIT).map(|id| (id, job(id))).collect();
+        world.workers.iter_mut().for_each(|worker| worker.has_images = true);
+        world
+    }
+
     /// A burst of urgent jobs of one to three tasks. They are as many as the team's limit lets begin within the time
     /// that a job may wait.
     pub fn burst(seed: u64, rhythm: Rhythm) -> Self {
