Leader: a task under way counts for its team until its shard confirms its end

Cause: TaskGrants::forget_ended dropped grants, also revoked ones, as soon as their job had ended or their task was done. Tasks on machines were still counted then, by residual usage, and so were those on unreconciled machines; what was granted or in a response on its way was counted by nobody. That a job has ended is no evidence that its tasks have.

Now such grants are revoked like any other: they count until their shard follows a plan without them and does not hold the task. A shard that follows that plan starts it no more, and from the response that starts a task until a heartbeat proves it gone the shard shows it in its summaries, so either the grant or the machine counts at any moment. Each grant says for which team it counts and how much, as the job's description may be gone. Only a task that was seen and is done is dropped at once: started again, it ends with its image.

Freeing revoked grants looks at one owner's machines, and only if a plan confirms any.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -164,17 +164,24 @@
 
     /// Machines as their owners' summaries show them, without those whose lease has expired since.
     fn owned_machines(&self) -> impl Iterator<Item = OwnedView<'_>> {
-        self.nodes.iter().flat_map(move |(owner, controller)| {
-            let expired = |machine: &OwnedMachine| {
-                let expired = self.expired_leases.get(&machine.view.id);
-                expired.is_some_and(|epoch| machine.view.agent_epoch <= *epoch)
-            };
-            let owned = move |machine: &&OwnedMachine| {
-                self.speaks_for(*owner, controller, &machine.view.id) && !expired(machine)
-            };
-            let machines = controller.machines.values().filter(owned);
-            machines.map(move |machine| OwnedView { machine, owner: *owner, controller })
-        })
+        self.nodes.iter().flat_map(|(owner, controller)| self.machines_of(*owner, controller))
+    }
+
+    /// The same of one controller.
+    fn machines_of<'a>(
+        &'a self,
+        owner: NodeId,
+        controller: &'a ControllerState,
+    ) -> impl Iterator<Item = OwnedView<'a>> {
+        let expired = |machine: &OwnedMachine| {
+            let expired = self.expired_leases.get(&machine.view.id);
+            expired.is_some_and(|epoch| machine.view.agent_epoch <= *epoch)
+        };
+        let owned = move |machine: &&OwnedMachine| {
+            self.speaks_for(owner, controller, &machine.view.id) && !expired(machine)
+        };
+        let machines = controller.machines.values().filter(owned);
+        machines.map(move |machine| OwnedView { machine, owner, controller })
     }
 
     /// Machine views from owners, as of their last summaries.
@@ -182,6 +189,13 @@
         self.owned_machines().map(|owned| &owned.machine.view)
     }
 
+    /// Views of one owner's machines, as of its last summary.
+    pub fn views_of(&self, owner: NodeId) -> impl Iterator<Item = &MachineView> {
+        let controller = self.nodes.get(&owner).into_iter();
+        let machines = controller.flat_map(move |controller| self.machines_of(owner, controller));
+        machines.map(|owned| &owned.machine.view)
+    }
+
     /// Where tasks are. Only a machine whose heartbeat carried this term's fencing token shows that: what is
     /// known of others may have ended and been started elsewhere since.
     pub fn on_machines(&self) -> TasksOnMachines<'_> {
--- a/src/leader/allocation.rs
+++ b/src/leader/allocation.rs
@@ -9,7 +9,7 @@
 use super::grant_groups::GrantGroup;
 use super::inputs::EpochInputs;
 use super::machine_speed::Speed;
-use super::task_grants::{NewGrant, TaskGrant};
+use super::task_grants::{NewGrant, TaskGrant, TaskUse};
 use crate::model::{Attempt, Cores, JobId, MonotonicTime, NodeId, TaskId};
 use crate::peer::WaitReason;
 use crate::placement::{self, PlacementRequest, PlacementTarget};
@@ -156,11 +156,12 @@
         place: GrantedPlace,
         attempt: Option<Attempt>,
     ) {
-        if let Some(used) = self.team_use.get_mut(request.team) {
-            used.add(&request.need, 1);
+        let usage = TaskUse { team: request.team, need: request.need };
+        if let Some(used) = self.team_use.get_mut(usage.team) {
+            used.add(&usage.need, 1);
         }
         let GrantedPlace { node, awaits_release, zone } = place;
-        let grant = TaskGrant { node, attempt, at: now, zone, seen: false, awaits_release };
+        let grant = TaskGrant { usage, node, attempt, at: now, zone, seen: false, awaits_release };
         self.grants.push(NewGrant { task, grant });
     }
 }
--- a/src/leader/gang_presence.rs
+++ b/src/leader/gang_presence.rs
@@ -4,7 +4,7 @@
 
 use super::inputs::EpochInputs;
 use super::task_grants::TaskGrants;
-use crate::model::{JobId, MonotonicTime};
+use crate::model::{JobId, MonotonicTime, TaskId};
 use crate::wire::{JobKind, TaskState};
 
 /// Where a gang's tasks are.
@@ -54,11 +54,8 @@
 }
 
 impl TaskGrants {
-    /// Where the tasks of all open gangs are. Remembers which of them workers have shown.
-    pub(super) fn gang_presence(
-        &mut self,
-        inputs: &EpochInputs<'_>,
-    ) -> BTreeMap<JobId, GangPresence> {
+    /// Where the tasks of all open gangs are.
+    pub(super) fn gang_presence(&self, inputs: &EpochInputs<'_>) -> BTreeMap<JobId, GangPresence> {
         let jobs = inputs.cluster.replica.jobs.iter();
         let mut gangs: BTreeMap<JobId, GangPresence> = jobs
             .filter(|(_, job)| job.spec.kind == JobKind::Gang)
@@ -68,17 +65,14 @@
             return gangs;
         }
         count_on_machines(inputs, &mut gangs);
-        for (task, grant) in &mut self.granted {
-            let Some(gang) = gangs.get_mut(&task.job) else { continue };
-            match inputs.on_machines.get(task) {
-                Some(seen) => grant.seen |= seen.state != TaskState::Unknown,
-                None => {
-                    gang.under_way += 1;
-                    gang.lost |= grant.seen;
-                }
+        let not_shown = |task: &&TaskId| !inputs.on_machines.contains_key(*task);
+        for (task, grant) in self.granted.iter().filter(|(task, _)| not_shown(task)) {
+            if let Some(gang) = gangs.get_mut(&task.job) {
+                gang.under_way += 1;
+                gang.lost |= grant.seen;
             }
         }
-        for task in self.revoked.keys().filter(|task| !inputs.on_machines.contains_key(task)) {
+        for task in self.revoked.keys().filter(not_shown) {
             if let Some(gang) = gangs.get_mut(&task.job) {
                 gang.revoked += 1;
             }
--- a/src/leader/quotas.rs
+++ b/src/leader/quotas.rs
@@ -7,6 +7,7 @@
 
 use super::allocation::{EpochAllocation, TeamUse};
 use super::inputs::EpochInputs;
+use super::task_grants::TaskUse;
 use super::{ClusterView, Leader};
 use crate::model::{Cores, JobId, MachineId};
 use crate::resources::Resources;
@@ -42,7 +43,12 @@
             teams.iter().enumerate().map(|(i, team)| (team.name.as_str(), i)).collect();
         let mut used = TeamUses::none(&index, teams.len());
         let mut tasks_by_job: FxHashMap<JobId, u64> = FxHashMap::default();
-        for task in on_machines.keys().chain(self.task_grants.not_on_machines(on_machines)) {
+        for (_, TaskUse { team, need }) in self.task_grants.not_on_machines(on_machines) {
+            if let Some(team_use) = used.uses.get_mut(*team) {
+                team_use.add(need, 1);
+            }
+        }
+        for task in on_machines.keys() {
             *tasks_by_job.entry(task.job).or_default() += 1;
         }
         for (id, tasks) in tasks_by_job {
--- a/src/leader/reconciliation.rs
+++ b/src/leader/reconciliation.rs
@@ -1,4 +1,4 @@
-//! Reconciliation: which tasks are proven not to run, and which unused grants are revoked. Why these
+//! Reconciliation: which tasks are proven not to run, and which grants are revoked. Why these
 //! proofs hold: `docs/safety.md`, "When a task is free".
 
 use super::Leader;
@@ -6,15 +6,17 @@
 use super::task_grants::TaskGrants;
 use crate::model::{PlanSeq, TaskId, Term};
 use crate::replica::Replica;
+use crate::wire::TaskState;
 
 impl Leader {
     /// Frees what is proven not to run, and revokes grants that were not used.
     pub(super) fn reconcile(&mut self, inputs: &EpochInputs<'_>) {
         let replica = inputs.cluster.replica;
+        let next_plan = self.plans.next();
         self.task_grants.resolve(inputs, self.term);
-        self.task_grants.forget_ended(replica);
+        self.task_grants.revoke_ended(replica, next_plan);
         self.jobs.run_times.retain(|job, _| replica.jobs.contains_key(job));
-        self.task_grants.revoke_unused(inputs, self.plans.next());
+        self.task_grants.revoke_unused(inputs, next_plan);
     }
 
     /// Logs tasks that two machines show, once each: a rule is about to break, or has.
@@ -49,10 +51,18 @@
         }
     }
 
-    /// Forgets tasks that are done and jobs that have ended.
-    fn forget_ended(&mut self, replica: &Replica) {
-        self.granted.retain(|task, _| replica.may_run(*task));
-        self.revoked.retain(|task, _| replica.may_run(*task));
+    /// Revokes grants of tasks that are not to start any more: until their shards confirm that, the tasks may start
+    /// or have been started unseen. Those that were seen and are done have no further use.
+    fn revoke_ended(&mut self, replica: &Replica, next_plan: PlanSeq) {
+        let ended = self.granted.iter().filter(|(task, _)| !replica.may_run(**task));
+        let ended: Vec<(TaskId, bool)> = ended.map(|(task, grant)| (*task, grant.seen)).collect();
+        for (task, seen) in ended {
+            if seen && replica.is_done(task) {
+                self.granted.remove(&task);
+            } else {
+                self.revoke(task, next_plan);
+            }
+        }
         self.recorded.retain(|job, _| replica.jobs.contains_key(job));
         self.recorded_ahead.retain(|task| replica.may_run(*task));
     }
@@ -63,8 +73,9 @@
         let unused_ms = inputs.cluster.settings.timing().unused_grant_ms;
         let mut unused: Vec<TaskId> = Vec::new();
         for (task, grant) in &mut self.granted {
-            if inputs.on_machines.contains_key(task) {
+            if let Some(seen) = inputs.on_machines.get(task) {
                 grant.at = now;
+                grant.seen |= seen.state != TaskState::Unknown;
             } else if now.since(grant.at) > unused_ms {
                 unused.push(*task);
             }
--- a/src/leader/task_grants.rs
+++ b/src/leader/task_grants.rs
@@ -16,12 +16,24 @@
     Attempt, JobId, LEADER_ATTEMPTS_NODE, MonotonicTime, NodeId, PlanSeq, TaskId, TaskRanges, Term,
 };
 use crate::replica::Replica;
+use crate::resources::Resources;
 use crate::wire::JobSpec;
 use std::collections::BTreeMap;
 
+/// What a task counts for. It stays with the grant, as a job's description goes when the job ends.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct TaskUse {
+    /// Its team, by number.
+    pub(super) team: usize,
+    /// What it takes.
+    pub(super) need: Resources,
+}
+
 /// A task that a controller may start.
 #[derive(Clone)]
 pub(super) struct TaskGrant {
+    /// What it counts for.
+    pub(super) usage: TaskUse,
     /// The controller.
     pub(super) node: NodeId,
     /// Set for gangs: the attempt of all their tasks.
@@ -30,7 +42,7 @@
     pub(super) at: MonotonicTime,
     /// Set for jobs that are bound to zones.
     pub(super) zone: Option<String>,
-    /// Whether a worker has shown it; followed for gangs only.
+    /// Whether a worker has shown it.
     pub(super) seen: bool,
     /// Whether it waits for a place that another task is about to leave.
     pub(super) awaits_release: bool,
@@ -46,6 +58,8 @@
 
 /// A grant that was taken back. The task may still be started until its shard follows a later plan.
 pub(super) struct RevokedGrant {
+    /// What it counts for until then.
+    pub(super) usage: TaskUse,
     /// The controller that it was granted to.
     pub(super) node: NodeId,
     /// The first plan without the grant.
@@ -139,13 +153,14 @@
             .filter(move |task| self.is_free(inputs, *task))
     }
 
-    /// Tasks granted or revoked in this term that no reconciled machine shows.
+    /// Tasks granted or revoked in this term that no reconciled machine shows, with what they count for.
     pub(super) fn not_on_machines(
         &self,
         on_machines: &TasksOnMachines<'_>,
-    ) -> impl Iterator<Item = &TaskId> {
-        let held = self.granted.keys().chain(self.revoked.keys());
-        held.filter(|task| !on_machines.contains_key(task))
+    ) -> impl Iterator<Item = (&TaskId, &TaskUse)> {
+        let granted = self.granted.iter().map(|(task, grant)| (task, &grant.usage));
+        let revoked = self.revoked.iter().map(|(task, revoked)| (task, &revoked.usage));
+        granted.chain(revoked).filter(|(task, _)| !on_machines.contains_key(task))
     }
 
     /// How many tasks of each job are held, and how many may be running anywhere.
@@ -154,7 +169,7 @@
         for task in on_machines.keys() {
             counts.entry(task.job).or_default().held += 1;
         }
-        for task in self.not_on_machines(on_machines) {
+        for (task, _) in self.not_on_machines(on_machines) {
             counts.entry(task.job).or_default().held += 1;
         }
         for task in &self.unresolved {
@@ -165,23 +180,24 @@
 
     /// Takes a grant back as of a plan.
     pub(super) fn revoke(&mut self, task: TaskId, plan: PlanSeq) {
-        if let Some(TaskGrant { node, zone, .. }) = self.granted.remove(&task) {
-            self.revoked.insert(task, RevokedGrant { node, plan, zone });
+        if let Some(TaskGrant { usage, node, zone, .. }) = self.granted.remove(&task) {
+            self.revoked.insert(task, RevokedGrant { usage, node, plan, zone });
         }
     }
 
     /// Frees the tasks of revoked grants once their shard follows a plan without them and does not
     /// hold them.
     pub(super) fn free_revoked(&mut self, fleet: &Fleet, node: NodeId, applied_plan: PlanSeq) {
-        let held: FxHashSet<TaskId> = fleet
-            .views()
-            .filter(|machine| {
-                fleet.owners.get(&machine.id).is_some_and(|owned| owned.owner == node)
-            })
-            .flat_map(|machine| machine.tasks.iter().map(|view| view.task))
-            .collect();
-        self.revoked.retain(|task, revoked| {
-            revoked.node != node || applied_plan < revoked.plan || held.contains(task)
-        });
+        let is_confirmed =
+            |revoked: &RevokedGrant| revoked.node == node && revoked.plan <= applied_plan;
+        let confirmed = self.revoked.iter().filter(|(_, revoked)| is_confirmed(revoked));
+        let mut free: FxHashSet<TaskId> = confirmed.map(|(task, _)| *task).collect();
+        if free.is_empty() {
+            return;
+        }
+        for held in fleet.views_of(node).flat_map(|machine| &machine.tasks) {
+            free.remove(&held.task);
+        }
+        self.revoked.retain(|task, _| !free.contains(task));
     }
 }
--- a/src/replica/queries.rs
+++ b/src/replica/queries.rs
@@ -4,7 +4,7 @@
 use rustc_hash::FxHashSet;
 
 use crate::model::{MachineId, NodeId, TaskId};
-use crate::wire::Condition;
+use crate::wire::{Condition, JobState};
 
 use super::{
     CAPABILITY_CANCELLATION_NOTICE, CAPABILITY_GANGS, CAPABILITY_GRANTS_AHEAD, CAPABILITY_STANDBY,
@@ -50,10 +50,17 @@
             .is_some_and(|job| task.index < job.spec.task_count && !job.is_done(task.index))
     }
 
+    /// Whether a task is durably done.
+    pub fn is_done(&self, task: TaskId) -> bool {
+        match self.jobs.get(&task.job) {
+            Some(job) => job.is_done(task.index),
+            None => self.ended.get(&task.job).is_some_and(|end| end.state == JobState::Done),
+        }
+    }
+
     /// Whether a task's outcome no longer matters: its job has ended or it is durably done.
     pub fn is_outcome_recorded(&self, task: TaskId) -> bool {
-        self.ended.contains_key(&task.job)
-            || self.jobs.get(&task.job).is_some_and(|job| job.is_done(task.index))
+        self.ended.contains_key(&task.job) || self.is_done(task)
     }
 
     /// Tasks that any earlier epoch granted and that are not done: they may be running.
