Leader: the log says what a team is counted as using, and from which parts

What teams use is a value of its own now (leader/team_use) with a part for each kind of evidence; grants, revocations and their confirmations are logged at debug, and a team whose machines show more than its limit at error, once.

Decisions are unchanged: the total is the sum that was counted before.

--- a/src/leader.rs
+++ b/src/leader.rs
@@ -14,7 +14,7 @@
 //! - **A new term voids what the last one said.** Of a [`Leader`], only its machines, [`Remembered`] and
 //!   what `TaskGrants` turns into unresolved tasks reach its next term.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 
 use rustc_hash::FxHashMap;
@@ -53,6 +53,7 @@
 mod standby_decisions;
 mod starvation;
 mod task_grants;
+mod team_use;
 mod term_start;
 
 use allocation::EpochAllocation;
@@ -129,6 +130,8 @@
 /// What is seen of jobs in this term.
 #[derive(Default)]
 struct JobObservations {
+    /// Teams whose tasks were more than their limit in the last epoch.
+    teams_over_limit: HashSet<String>,
     /// Why jobs wait, as of the last epoch.
     wait_reasons: HashMap<JobId, WaitReason>,
     /// Tasks that the last epoch admitted.
@@ -224,6 +227,7 @@
         self.reconcile(&inputs);
         self.supervise_gangs(&inputs);
         let mut allocation = self.allocation(&inputs);
+        self.log_teams_over_limit(cluster, &allocation.team_use);
         self.grant(&inputs, &mut allocation);
         let EpochAllocation { grants, targets, .. } = allocation;
         let mut epoch = Epoch { grants, ..Epoch::default() };
--- a/src/leader/allocation.rs
+++ b/src/leader/allocation.rs
@@ -10,6 +10,7 @@
 use super::inputs::EpochInputs;
 use super::machine_speed::Speed;
 use super::task_grants::{NewGrant, TaskGrant, TaskUse};
+use super::team_use::TeamUse;
 use crate::model::{Attempt, Cores, JobId, MonotonicTime, NodeId, TaskId};
 use crate::peer::WaitReason;
 use crate::placement::{self, PlacementRequest, PlacementTarget};
@@ -17,23 +18,6 @@
 use crate::resources::Resources;
 use crate::wire::JobSpec;
 
-/// What a team may be using.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct TeamUse {
-    /// Cores.
-    pub(super) cores: Cores,
-    /// Accelerators.
-    pub(super) accelerators: Cores,
-}
-
-impl TeamUse {
-    /// Counts tasks in that take `need` each.
-    pub(super) fn add(&mut self, need: &Resources, tasks: u64) {
-        self.cores.0 += need.cores.0 * tasks;
-        self.accelerators.0 += need.accelerators.0 * tasks;
-    }
-}
-
 /// What an epoch fills: teams' use of cores and accelerators, room on machines, and grants.
 pub(super) struct EpochAllocation {
     /// What each team may be using.
@@ -157,10 +141,12 @@
         attempt: Option<Attempt>,
     ) {
         let usage = TaskUse { team: request.team, need: request.need };
+        let GrantedPlace { node, awaits_release, zone } = place;
         if let Some(used) = self.team_use.get_mut(usage.team) {
-            used.add(&usage.need, 1);
+            used.granted.add(&usage.need, 1);
+            let team = &request.job.spec.team;
+            tracing::debug!(%task, node = node.0, %team, %used, "grants");
         }
-        let GrantedPlace { node, awaits_release, zone } = place;
         let grant = TaskGrant { usage, node, attempt, at: now, zone, seen: false, awaits_release };
         self.grants.push(NewGrant { task, grant });
     }
--- a/src/leader/describe.rs
+++ b/src/leader/describe.rs
@@ -35,7 +35,7 @@
         let targets = self.fleet.targets(cluster);
         let free = targets.iter().fold(Cores(0), |sum, target| Cores(sum.0 + target.free.cores.0));
         format!(
-            "machines={} up={} spot={} owners={} tasks={} granted={} unresolved={} unreconciled={} jobs={} \
+            "machines={} up={} spot={} owners={} tasks={} granted={} revoked={} unresolved={} unreconciled={} jobs={} \
              cores: run={:.0} fetch={:.0} wait={:.0} free={:.0} ready={:.0}/{:.0} reserved={} versions={}",
             self.fleet.machines.len(),
             self.fleet.machines.values().filter(|machine| machine.up).count(),
@@ -43,6 +43,7 @@
             self.fleet.owners.len(),
             on_machines.len(),
             self.task_grants.granted.keys().filter(|task| !on_machines.contains_key(task)).count(),
+            self.task_grants.revoked.len(),
             self.task_grants.unresolved.len(),
             self.fleet.unreconciled.len(),
             cluster.replica.jobs.len(),
--- a/src/leader/gang_scheduling.rs
+++ b/src/leader/gang_scheduling.rs
@@ -10,7 +10,7 @@
 use super::allocation::{EpochAllocation, GrantRequest, ZoneRule};
 use super::gang_presence::GangPresence;
 use super::inputs::EpochInputs;
-use super::task_grants::TaskCounts;
+use super::task_grants::{RevocationReason, TaskCounts};
 use crate::cluster_view::ClusterView;
 use crate::model::{Attempt, JobId, MonotonicTime, TaskId};
 use crate::peer::{GangStop, WaitReason};
@@ -126,7 +126,7 @@
         let granted = self.task_grants.granted.keys();
         let granted: Vec<TaskId> = granted.filter(|task| task.job == id).copied().collect();
         for task in granted {
-            self.task_grants.revoke(task, next_plan);
+            self.task_grants.revoke(task, next_plan, RevocationReason::GangStopped);
         }
         let before = self.task_grants.attempts.allocate();
         let stop = GangStop { job: id.0, before, grace_ms };
--- a/src/leader/granting.rs
+++ b/src/leader/granting.rs
@@ -6,11 +6,12 @@
 use std::collections::HashSet;
 
 use super::Leader;
-use super::allocation::{EpochAllocation, GrantRequest, TeamUse};
+use super::allocation::{EpochAllocation, GrantRequest};
 use super::importance::JobStandings;
 use super::inputs::EpochInputs;
 use super::starvation::STARVED_WEIGHT;
 use super::task_grants::JobTaskCounts;
+use super::team_use::TeamUse;
 use crate::admission::{self, Admission, Bounds, Demand};
 use crate::cluster_view::ClusterView;
 use crate::fleet::Fleet;
@@ -30,7 +31,8 @@
 /// Which teams are at their limit.
 fn teams_at_limit(cluster: &ClusterView<'_>, team_use: &[TeamUse]) -> Vec<bool> {
     let teams = cluster.settings.params.teams.iter().zip(team_use);
-    let at_limit = |limit: Cores, used: &TeamUse| used.cores.amount() >= limit.amount() * AT_LIMIT;
+    let at_limit =
+        |limit: Cores, used: &TeamUse| used.total().cores.amount() >= limit.amount() * AT_LIMIT;
     teams.map(|(team, used)| team.core_limit().is_some_and(|l| at_limit(l, used))).collect()
 }
 
--- a/src/leader/plans.rs
+++ b/src/leader/plans.rs
@@ -36,7 +36,9 @@
     pub fn publish(&mut self, cluster: &ClusterView<'_>, epoch: Epoch) {
         self.task_grants.recorded.extend(epoch.recorded);
         self.task_grants.recorded_ahead.extend(epoch.recorded_ahead);
+        let (term, plan) = (self.term, self.plans.next().0);
         for NewGrant { task, grant } in epoch.grants {
+            tracing::debug!(%task, node = grant.node.0, %term, plan, "granted");
             self.task_grants.recorded_ahead.remove(&task);
             if let Some(attempt) = grant.attempt {
                 self.record_gang(cluster.now, task.job, attempt);
--- a/src/leader/quotas.rs
+++ b/src/leader/quotas.rs
@@ -1,110 +1,127 @@
 //! What teams may be using: on machines, granted, and on machines that are not reconciled yet. A team is
 //! never granted tasks beyond its limit, whatever of it may still be running unseen.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashSet};
 
 use rustc_hash::FxHashMap;
 
-use super::allocation::{EpochAllocation, TeamUse};
+use super::allocation::EpochAllocation;
 use super::inputs::EpochInputs;
-use super::task_grants::TaskUse;
+use super::team_use::{TeamUse, Usage};
 use super::{ClusterView, Leader};
+use crate::config::Team;
+use crate::fleet::TasksOnMachines;
 use crate::model::{Cores, JobId, MachineId};
+use crate::replica::Replica;
 use crate::resources::Resources;
 
-/// The number of each team by its name.
-type TeamIndex<'a> = FxHashMap<&'a str, usize>;
-
-/// What each team may be using.
+/// What each team may be using, by its number.
 struct TeamUses<'a> {
-    index: &'a TeamIndex<'a>,
+    index: FxHashMap<&'a str, usize>,
     uses: Vec<TeamUse>,
 }
 
 impl<'a> TeamUses<'a> {
-    fn none(index: &'a TeamIndex<'a>, teams: usize) -> Self {
-        TeamUses { index, uses: vec![TeamUse::default(); teams] }
+    fn none(teams: &'a [Team]) -> Self {
+        let index = teams.iter().enumerate().map(|(i, team)| (team.name.as_str(), i)).collect();
+        TeamUses { index, uses: vec![TeamUse::default(); teams.len()] }
     }
 
-    /// Counts tasks of a team in; those of a team that is unknown count for nobody.
-    fn add(&mut self, team: &str, need: &Resources, tasks: u64) {
-        if let Some(team_use) = self.index.get(team).and_then(|i| self.uses.get_mut(*i)) {
-            team_use.add(need, tasks);
-        }
+    /// The team of that name; `None` if it is unknown.
+    fn team(&mut self, name: &str) -> Option<&mut TeamUse> {
+        self.uses.get_mut(*self.index.get(name)?)
     }
-}
 
-impl Leader {
-    /// What each team may be using.
-    pub(super) fn team_use(&self, inputs: &EpochInputs<'_>) -> Vec<TeamUse> {
-        let EpochInputs { cluster, on_machines, .. } = inputs;
-        let teams = &cluster.settings.params.teams;
-        let index: TeamIndex<'_> =
-            teams.iter().enumerate().map(|(i, team)| (team.name.as_str(), i)).collect();
-        let mut used = TeamUses::none(&index, teams.len());
+    /// Counts tasks on reconciled machines in. Those of jobs that have ended use cores until they end, too.
+    fn count_on_machines(&mut self, replica: &Replica, on_machines: &TasksOnMachines<'_>) {
         let mut tasks_by_job: FxHashMap<JobId, u64> = FxHashMap::default();
-        for (_, TaskUse { team, need }) in self.task_grants.not_on_machines(on_machines) {
-            if let Some(team_use) = used.uses.get_mut(*team) {
-                team_use.add(need, 1);
-            }
-        }
         for task in on_machines.keys() {
             *tasks_by_job.entry(task.job).or_default() += 1;
         }
         for (id, tasks) in tasks_by_job {
-            if let Some(job) = cluster.replica.jobs.get(&id) {
-                used.add(&job.spec.team, &Resources::of(&job.spec), tasks);
-            } else if let Some(residual) = cluster.replica.residual_usage.get(&id) {
-                // Tasks of jobs that have ended still use cores until they end.
-                used.add(&residual.owner, &residual.need, tasks);
+            if let Some(job) = replica.jobs.get(&id) {
+                if let Some(team) = self.team(&job.spec.team) {
+                    team.on_machines.add(&Resources::of(&job.spec), tasks);
+                }
+            } else if let Some(residual) = replica.residual_usage.get(&id)
+                && let Some(team) = self.team(&residual.owner)
+            {
+                team.on_machines.add(&residual.need, tasks);
             }
         }
-        // Machines whose tasks belong to nobody known count in full for every team.
+    }
+
+    /// Counts machines whose tasks belong to nobody known in full for every team.
+    fn count_unidentified(&mut self, inputs: &EpochInputs<'_>) {
         for id in machines_with_unknown_tasks(inputs) {
             if let Some(offered) = offered_by(inputs, id) {
-                used.uses.iter_mut().for_each(|team_use| team_use.add(&offered, 1));
+                self.uses.iter_mut().for_each(|team| team.unidentified.add(&offered, 1));
             }
         }
-        self.add_unreconciled(inputs, &mut used);
+    }
+}
+
+impl Leader {
+    /// What each team may be using.
+    pub(super) fn team_use(&self, inputs: &EpochInputs<'_>) -> Vec<TeamUse> {
+        let EpochInputs { cluster, on_machines, .. } = inputs;
+        let mut used = TeamUses::none(&cluster.settings.params.teams);
+        used.count_on_machines(cluster.replica, on_machines);
+        self.task_grants.count_under_way(on_machines, &mut used.uses);
+        used.count_unidentified(inputs);
+        self.count_unreconciled(inputs, &mut used);
         used.uses
     }
 
-    /// Adds what may be on machines that have not reported in this term: no more than they
+    /// Counts what may be on machines that have not reported in this term: no more than they
     /// hold, and of a team no more than the tasks it may have there, which are the unresolved ones
     /// and those of its cancelled jobs.
-    fn add_unreconciled(&self, inputs: &EpochInputs<'_>, used: &mut TeamUses<'_>) {
+    fn count_unreconciled(&self, inputs: &EpochInputs<'_>, used: &mut TeamUses<'_>) {
         let replica = inputs.cluster.replica;
-        let mut held = TeamUse::default();
+        let mut held = Usage::default();
         for id in &inputs.fleet.unreconciled {
             if let Some(offered) = offered_by(inputs, id) {
                 held.add(&offered, 1);
             }
         }
-        if held.cores.0 == 0 && held.accelerators.0 == 0 {
+        if held == Usage::default() {
             return;
         }
-        let mut possible = TeamUses::none(used.index, used.uses.len());
         let mut unresolved_by_job: FxHashMap<JobId, u64> = FxHashMap::default();
         for task in &self.task_grants.unresolved {
             *unresolved_by_job.entry(task.job).or_default() += 1;
         }
         for (id, tasks) in unresolved_by_job {
-            if let Some(job) = replica.jobs.get(&id) {
-                possible.add(&job.spec.team, &Resources::of(&job.spec), tasks);
+            if let Some(job) = replica.jobs.get(&id)
+                && let Some(team) = used.team(&job.spec.team)
+            {
+                team.unreconciled.add(&Resources::of(&job.spec), tasks);
             }
         }
         for residual in replica.residual_usage.values() {
-            possible.add(&residual.owner, &residual.need, u64::from(residual.unfinished_tasks));
+            if let Some(team) = used.team(&residual.owner) {
+                team.unreconciled.add(&residual.need, u64::from(residual.unfinished_tasks));
+            }
         }
-        // Of what residual usage was left out of the record, nobody knows whose it is.
-        let count_all = replica.residual_usage_truncated;
-        for (team_use, possible) in used.uses.iter_mut().zip(possible.uses) {
-            let bound = |held: Cores, possible: Cores| {
-                if count_all { held.0 } else { held.0.min(possible.0) }
-            };
-            team_use.cores.0 += bound(held.cores, possible.cores);
-            team_use.accelerators.0 += bound(held.accelerators, possible.accelerators);
+        for team in &mut used.uses {
+            // Of what residual usage was left out of the record, nobody knows whose it is.
+            let count_all = replica.residual_usage_truncated;
+            team.unreconciled = if count_all { held } else { team.unreconciled.min(held) };
+        }
+    }
+
+    /// Logs teams whose tasks on machines are more than their limit, once each: a rule is broken.
+    pub(super) fn log_teams_over_limit(&mut self, cluster: &ClusterView<'_>, uses: &[TeamUse]) {
+        let teams = cluster.settings.params.teams.iter().zip(uses);
+        let over_limit = teams.filter(|(team, used)| used.on_machines.exceeds_limit(team));
+        let over_limit: Vec<(&Team, &TeamUse)> = over_limit.collect();
+        let logged = &self.jobs.teams_over_limit;
+        for (team, used) in over_limit.iter().filter(|(team, _)| !logged.contains(&team.name)) {
+            let (term, limit) = (self.term, team.max_vcpus);
+            tracing::error!(team = %team.name, limit, %used, %term, "a team is over its limit");
         }
+        let names = over_limit.into_iter().map(|(team, _)| team.name.clone());
+        self.jobs.teams_over_limit = names.collect::<HashSet<String>>();
     }
 
     /// How many more such tasks a team's limit allows.
@@ -116,7 +133,7 @@
         allocation: &EpochAllocation,
     ) -> usize {
         let Some(limits) = cluster.settings.params.teams.get(team) else { return usize::MAX };
-        let used = allocation.team_use.get(team).copied().unwrap_or_default();
+        let used = allocation.team_use.get(team).map(TeamUse::total).unwrap_or_default();
         let tasks_left = |limit: Option<Cores>, used: Cores, each: Cores| {
             let tasks = limit.map(|limit| limit.less(used).0.checked_div(each.0));
             tasks.map_or(u64::MAX, |tasks| tasks.unwrap_or(u64::MAX))
--- a/src/leader/reconciliation.rs
+++ b/src/leader/reconciliation.rs
@@ -3,7 +3,7 @@
 
 use super::Leader;
 use super::inputs::EpochInputs;
-use super::task_grants::TaskGrants;
+use super::task_grants::{RevocationReason, TaskGrants};
 use crate::model::{PlanSeq, TaskId, Term};
 use crate::replica::Replica;
 use crate::wire::TaskState;
@@ -60,7 +60,7 @@
             if seen && replica.is_done(task) {
                 self.granted.remove(&task);
             } else {
-                self.revoke(task, next_plan);
+                self.revoke(task, next_plan, RevocationReason::Ended);
             }
         }
         self.recorded.retain(|job, _| replica.jobs.contains_key(job));
@@ -81,7 +81,7 @@
             }
         }
         for task in unused {
-            self.revoke(task, next_plan);
+            self.revoke(task, next_plan, RevocationReason::Unused);
         }
     }
 }
--- a/src/leader/task_grants.rs
+++ b/src/leader/task_grants.rs
@@ -10,6 +10,7 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use super::inputs::EpochInputs;
+use super::team_use::TeamUse;
 use crate::attempts::AttemptAllocator;
 use crate::fleet::{Fleet, TasksOnMachines};
 use crate::model::{
@@ -56,6 +57,17 @@
     pub(super) grant: TaskGrant,
 }
 
+/// Why a grant is revoked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RevocationReason {
+    /// Its task has been on no machine for long.
+    Unused,
+    /// Its task is not to start any more: the job has ended, or the task is done.
+    Ended,
+    /// Its gang is being stopped.
+    GangStopped,
+}
+
 /// A grant that was taken back. The task may still be started until its shard follows a later plan.
 pub(super) struct RevokedGrant {
     /// What it counts for until then.
@@ -153,14 +165,25 @@
             .filter(move |task| self.is_free(inputs, *task))
     }
 
-    /// Tasks granted or revoked in this term that no reconciled machine shows, with what they count for.
-    pub(super) fn not_on_machines(
-        &self,
-        on_machines: &TasksOnMachines<'_>,
-    ) -> impl Iterator<Item = (&TaskId, &TaskUse)> {
-        let granted = self.granted.iter().map(|(task, grant)| (task, &grant.usage));
-        let revoked = self.revoked.iter().map(|(task, revoked)| (task, &revoked.usage));
-        granted.chain(revoked).filter(|(task, _)| !on_machines.contains_key(task))
+    /// Tasks granted or revoked in this term that no reconciled machine shows.
+    fn not_on_machines(&self, on_machines: &TasksOnMachines<'_>) -> impl Iterator<Item = &TaskId> {
+        let held = self.granted.keys().chain(self.revoked.keys());
+        held.filter(|task| !on_machines.contains_key(task))
+    }
+
+    /// Counts the same for their teams, by number.
+    pub(super) fn count_under_way(&self, on_machines: &TasksOnMachines<'_>, teams: &mut [TeamUse]) {
+        let is_under_way = |task: &TaskId| !on_machines.contains_key(task);
+        for (_, grant) in self.granted.iter().filter(|(task, _)| is_under_way(task)) {
+            if let Some(team) = teams.get_mut(grant.usage.team) {
+                team.granted.add(&grant.usage.need, 1);
+            }
+        }
+        for (_, revoked) in self.revoked.iter().filter(|(task, _)| is_under_way(task)) {
+            if let Some(team) = teams.get_mut(revoked.usage.team) {
+                team.revoked.add(&revoked.usage.need, 1);
+            }
+        }
     }
 
     /// How many tasks of each job are held, and how many may be running anywhere.
@@ -169,7 +192,7 @@
         for task in on_machines.keys() {
             counts.entry(task.job).or_default().held += 1;
         }
-        for (task, _) in self.not_on_machines(on_machines) {
+        for task in self.not_on_machines(on_machines) {
             counts.entry(task.job).or_default().held += 1;
         }
         for task in &self.unresolved {
@@ -179,8 +202,9 @@
     }
 
     /// Takes a grant back as of a plan.
-    pub(super) fn revoke(&mut self, task: TaskId, plan: PlanSeq) {
+    pub(super) fn revoke(&mut self, task: TaskId, plan: PlanSeq, reason: RevocationReason) {
         if let Some(TaskGrant { usage, node, zone, .. }) = self.granted.remove(&task) {
+            tracing::debug!(%task, node = node.0, plan = plan.0, ?reason, "revokes");
             self.revoked.insert(task, RevokedGrant { usage, node, plan, zone });
         }
     }
@@ -198,6 +222,9 @@
         for held in fleet.views_of(node).flat_map(|machine| &machine.tasks) {
             free.remove(&held.task);
         }
-        self.revoked.retain(|task, _| !free.contains(task));
+        for task in &free {
+            tracing::debug!(%task, node = node.0, plan = applied_plan.0, "revocation confirmed");
+            self.revoked.remove(task);
+        }
     }
 }
--- a/src/leader/tests.rs
+++ b/src/leader/tests.rs
@@ -115,13 +115,14 @@
     applied_plan: u64,
     machines: Vec<MachineView>,
 ) -> bool {
+    let term = controller.leader.as_ref().map_or(Term(3), |leader| leader.term);
     let summary = Summary {
         node: NodeId(0),
         incarnation: INCARNATION,
         seq: ms,
         base_seq: 0,
         has_more: false,
-        term: Term(3),
+        term,
         applied_plan: PlanSeq(applied_plan),
         echoed_clock_ms: 0,
         uptime_ms: ms,
--- a/src/leader/tests/quotas.rs
+++ b/src/leader/tests/quotas.rs
@@ -40,19 +40,26 @@
     controller.replica.load(&item, &mut ReplicaChanges::default());
 }
 
-/// A leader whose team may use as much as one task takes, that has granted the first job's task, with the second
-/// job waiting; and the plan that grants it.
+/// A leader whose team may use as much as one task takes. The first job's may run anywhere.
+fn leader_with_limit() -> Controller {
+    leader_with(&EXAMPLE.replacen("cpus = 16.0\ncpus_max = 32.0", "cpus = 0.0\ncpus_max = 4.0", 1))
+}
+
+/// The same once it has granted the first job's task, with the second job waiting; and the plan that grants it.
 fn leader_at_limit() -> (Controller, u64) {
-    let limit = EXAMPLE.replacen("cpus = 16.0\ncpus_max = 32.0", "cpus = 0.0\ncpus_max = 4.0", 1);
-    let mut controller = leader_with(&limit);
+    let mut controller = leader_with_limit();
     run_epoch(&mut controller, 1_100, 0, vec![]);
     assert!(run_epoch(&mut controller, 1_300, 1, shows(None)), "the first job is granted");
-    let accepted = Accepted { spec: spec(SECOND_JOB.0, 1), at: WallTime(1) };
-    load(&mut controller, replica::job_key(SECOND_JOB), wire::to_value(&accepted), 10);
+    submit_second_job(&mut controller);
     let plan = published(&controller);
     (controller, plan)
 }
 
+fn submit_second_job(controller: &mut Controller) {
+    let accepted = Accepted { spec: spec(SECOND_JOB.0, 1), at: WallTime(1) };
+    load(controller, replica::job_key(SECOND_JOB), wire::to_value(&accepted), 10);
+}
+
 fn confirm_rights(controller: &mut Controller, ms: u64) {
     controller.rights.confirm_renewal(MonotonicTime(ms));
     controller.rights.confirm_sync(MonotonicTime(ms));
@@ -72,6 +79,7 @@
     load(controller, replica::progress_key(FIRST_JOB), wire::to_value(&progress), 11);
     if matches!(end, End::Forgotten) {
         controller.replica.residual_usage.remove(&FIRST_JOB);
+        controller.replica.residual_usage_truncated = true;
     }
 }
 
@@ -121,3 +129,53 @@
     }
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
+
+/// Runs epochs of a term that has just begun; says whether the second job is granted before and after the first
+/// machine is reconciled.
+fn grants_around_reconciliation(controller: &mut Controller, ms: u64) -> (bool, bool) {
+    let views = |reconciled| vec![view("n-1", reconciled, &[]), view("n-2", true, &[])];
+    let mut epoch = |later, applied_plan, reconciled| {
+        confirm_rights(controller, ms + later);
+        run_epoch(controller, ms + later, applied_plan, views(reconciled))
+    };
+    assert!(!epoch(0, 0, false), "owners are assigned");
+    let before = epoch(200, 1, false);
+    (before, epoch(400, 1, true))
+}
+
+#[test]
+fn what_an_earlier_term_left_of_ended_jobs_counts_until_machines_are_reconciled() {
+    // A completed task that is started again ends with its image, so an array that is done uses nothing.
+    let cases = [(End::Cancelled, false), (End::Forgotten, false), (End::Completed, true)];
+    for (end, granted_before) in cases {
+        let mut controller = leader_with_limit();
+        submit_second_job(&mut controller);
+        end_first_job(&mut controller, end);
+        let (before, after) = grants_around_reconciliation(&mut controller, 1_100);
+        assert_eq!(before, granted_before, "another leader's grant, {end:?}");
+        assert_eq!(after, !granted_before, "another leader's grant, {end:?}");
+
+        let (mut controller, _) = leader_at_limit();
+        end_first_job(&mut controller, end);
+        let leader = LeaderRecord { node: NodeId(0), incarnation: INCARNATION, term: Term(4) };
+        let term = TermRecord { term: Term(4) };
+        load(&mut controller, replica::LEADER_KEY.into(), wire::to_value(&leader), 12);
+        load(&mut controller, replica::TERM_KEY.into(), wire::to_value(&term), 12);
+        controller.follow(at(2_000), &ReplicaChanges { leader: true, ..ReplicaChanges::default() });
+        let (before, after) = grants_around_reconciliation(&mut controller, 2_200);
+        assert_eq!(before, granted_before, "its own grant, {end:?}");
+        assert_eq!(after, !granted_before, "its own grant, {end:?}");
+    }
+}
+
+#[test]
+fn a_team_over_its_limit_is_detected() {
+    let (mut controller, plan) = leader_at_limit();
+    let cases = [(1_500, &[0][..], false), (1_700, &[0, 1], true), (1_900, &[0], false)];
+    for (ms, tasks, over) in cases {
+        let views = vec![view("n-1", true, tasks), view("n-2", true, &[])];
+        run_epoch(&mut controller, ms, plan, views);
+        let teams = &controller.leader.as_ref().unwrap().jobs.teams_over_limit;
+        assert_eq!(teams.contains("red"), over, "{tasks:?}");
+    }
+}
