Leader: machines of unlisted types count for limits as holding all they may

A machine whose type is not in the cloud's list any more offered nothing as far as limits go. So what might be on it before it was reconciled counted for nobody, nor did tasks of jobs that nobody knows.

Such a machine holds as much as it may now: of a team, its unresolved tasks and those of its ended jobs; without bound where nobody knows whose they are, until it is reconciled or the tasks have ended.

Failed before: leader::tests::quotas, the test of unlisted types, in three of four cases (cancelled and unreconciled; forgotten, unreconciled and not). Unit tests pass.

--- a/src/leader/quotas.rs
+++ b/src/leader/quotas.rs
@@ -54,9 +54,8 @@
     /// Counts machines whose tasks belong to nobody known in full for every team.
     fn count_unidentified(&mut self, inputs: &EpochInputs<'_>) {
         for id in machines_with_unknown_tasks(inputs) {
-            if let Some(offered) = offered_by(inputs, id) {
-                self.uses.iter_mut().for_each(|team| team.unidentified.add(&offered, 1));
-            }
+            let held = held_at_most(inputs, id);
+            self.uses.iter_mut().for_each(|team| team.unidentified = team.unidentified.plus(held));
         }
     }
 }
@@ -78,12 +77,9 @@
     /// and those of its cancelled jobs.
     fn count_unreconciled(&self, inputs: &EpochInputs<'_>, used: &mut TeamUses<'_>) {
         let replica = inputs.cluster.replica;
-        let mut held = Usage::default();
-        for id in &inputs.fleet.unreconciled {
-            if let Some(offered) = offered_by(inputs, id) {
-                held.add(&offered, 1);
-            }
-        }
+        let unreconciled = inputs.fleet.unreconciled.iter();
+        let held =
+            unreconciled.map(|id| held_at_most(inputs, id)).fold(Usage::default(), Usage::plus);
         if held == Usage::default() {
             return;
         }
@@ -154,8 +150,10 @@
     on_machines.filter(|(task, _)| unknown(&task.job)).map(|(_, seen)| &seen.machine.id).collect()
 }
 
-/// What a machine offers, if that is known.
-fn offered_by(inputs: &EpochInputs<'_>, machine: &MachineId) -> Option<Resources> {
-    let machine_type = &inputs.fleet.machines.get(machine)?.offer.machine_type;
-    inputs.cluster.catalog.get(machine_type).map(Resources::offered)
+/// The most that tasks on a machine use: what it offers, or no bound if the cloud no longer lists its type.
+fn held_at_most(inputs: &EpochInputs<'_>, machine: &MachineId) -> Usage {
+    let machine = inputs.fleet.machines.get(machine);
+    let machine_type =
+        machine.and_then(|machine| inputs.cluster.catalog.get(&machine.offer.machine_type));
+    machine_type.map_or(Usage::UNBOUNDED, |offered| Usage::of_machine(&Resources::offered(offered)))
 }
--- a/src/leader/team_use.rs
+++ b/src/leader/team_use.rs
@@ -16,17 +16,26 @@
 }
 
 impl Usage {
+    /// More than any limit allows.
+    pub(super) const UNBOUNDED: Usage =
+        Usage { cores: Cores(u64::MAX), accelerators: Cores(u64::MAX) };
+
     /// Counts tasks in that take `need` each.
     pub(super) fn add(&mut self, need: &Resources, tasks: u64) {
         self.cores.0 += need.cores.0 * tasks;
         self.accelerators.0 += need.accelerators.0 * tasks;
     }
 
+    /// All that a machine offers.
+    pub(super) fn of_machine(offered: &Resources) -> Self {
+        Usage { cores: offered.cores, accelerators: offered.accelerators }
+    }
+
     /// Both together.
     pub(super) fn plus(self, other: Usage) -> Usage {
         Usage {
-            cores: Cores(self.cores.0 + other.cores.0),
-            accelerators: Cores(self.accelerators.0 + other.accelerators.0),
+            cores: Cores(self.cores.0.saturating_add(other.cores.0)),
+            accelerators: Cores(self.accelerators.0.saturating_add(other.accelerators.0)),
         }
     }
 
--- a/src/leader/tests/quotas.rs
+++ b/src/leader/tests/quotas.rs
@@ -179,3 +179,33 @@
         assert_eq!(teams.contains("red"), over, "{tasks:?}");
     }
 }
+
+#[test]
+fn tasks_on_machines_of_types_that_the_cloud_no_longer_lists_count() {
+    let retired = |id, reconciled, tasks| MachineView {
+        machine_type: "retired".into(),
+        ..view(id, reconciled, tasks)
+    };
+    let mut machines = group(&["n-1", "n-2"]);
+    machines.machines[0].1.machine_type = "retired".into();
+    let key = replica::machine_key(0);
+    let mut wrong = Vec::new();
+    for end in [End::Cancelled, End::Forgotten] {
+        for reconciled in [false, true] {
+            let mut controller = leader_with_limit();
+            load(&mut controller, key.clone(), wire::to_value(&machines), 10);
+            submit_second_job(&mut controller);
+            end_first_job(&mut controller, end);
+            run_epoch(&mut controller, 1_100, 0, vec![]);
+            let shown: &[u32] = if reconciled { &[0] } else { &[] };
+            let views = vec![retired("n-1", reconciled, shown), view("n-2", true, &[])];
+            let before = run_epoch(&mut controller, 1_300, 1, views);
+            let views = vec![retired("n-1", true, &[]), view("n-2", true, &[])];
+            let after = run_epoch(&mut controller, 1_500, 1, views);
+            if before || !after {
+                wrong.push((end, reconciled, before, after));
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
