--- a/tests/sim/faults.rs
+++ b/tests/sim/faults.rs
@@ -331,7 +331,7 @@
 fn invariants_hold_under_random_combined_faults() {
     for seed in 0..24 {
         for rhythm in [BRISK, SLOW] {
-            let faults = world::faults::random_combined_faults(seed, rhythm);
+            let faults = world::random_faults::random_combined_faults(seed, rhythm);
             let name = format!("meeting {faults:?}");
             let world = World::busy(seed, rhythm);
             play_for(rhythm.lease_ms * 30, world, &name, seed, rhythm, &faults);
@@ -350,7 +350,7 @@
     // grants back, and a restarted machine brought a new term every 15 s.
     for seed in (100..140).chain([1144, 1768, 12_606, 14_641]) {
         for rhythm in [BRISK, SLOW] {
-            let faults = world::faults::random_faults(seed, rhythm);
+            let faults = world::random_faults::random_faults(seed, rhythm);
             play(&format!("random {faults:?}"), seed, rhythm, &faults);
         }
     }
@@ -362,7 +362,7 @@
     // they did not count for the team's limit after a failover.
     for seed in (300..330).chain([3803]) {
         for rhythm in [BRISK, SLOW] {
-            let mut faults = world::faults::random_faults(seed, rhythm);
+            let mut faults = world::random_faults::random_faults(seed, rhythm);
             let roll = [(9_000, Upgrade(2)), (16_000, Upgrade(0)), (23_000, Upgrade(1))];
             faults.extend(roll);
             faults.sort_by_key(|f| f.0);
--- a/tests/sim/gangs.rs
+++ b/tests/sim/gangs.rs
@@ -33,7 +33,7 @@
 fn gangs_keep_the_invariants_and_end_under_random_faults() {
     for seed in 200..240 {
         for rhythm in [BRISK, SLOW] {
-            let mut faults = world::faults::random_faults(seed, rhythm);
+            let mut faults = world::random_faults::random_faults(seed, rhythm);
             let taken = (
                 5_000 + seed * 1_237 % 60_000,
                 SpotReclaimed(seed as usize % 8, 4_000 + seed % 12 * 1_000),
--- a/tests/sim/standby.rs
+++ b/tests/sim/standby.rs
@@ -172,7 +172,7 @@
 fn random_faults_meet_failovers() {
     for seed in 0..24 {
         for rhythm in [BRISK, SLOW] {
-            let mut faults = world::faults::random_combined_faults(seed, rhythm);
+            let mut faults = world::random_faults::random_combined_faults(seed, rhythm);
             let freezes = [(14_000 + seed * 911, FreezeLeader(400 + seed * 350))];
             faults.extend(freezes);
             faults.sort_by_key(|f| f.0);
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -32,6 +32,7 @@
 pub mod faults;
 mod gangs;
 mod messages;
+pub mod random_faults;
 mod scenarios;
 mod under_way;
 mod users;
