Fleet: controllers' states and terminated machines by their names

Fleet::nodes held what controllers' summaries showed, Fleet::gone a set of machines, beside MachineRecord::gone, a time. They are controllers and terminated now; fields of messages, records and log lines are unchanged.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -86,7 +86,7 @@
 pub struct Fleet {
     began: MonotonicTime,
     /// What controllers' summaries showed in this term.
-    pub nodes: BTreeMap<NodeId, ControllerState>,
+    pub controllers: BTreeMap<NodeId, ControllerState>,
     /// Who owns each machine.
     pub owners: BTreeMap<MachineId, Ownership>,
     /// Machines that are gone, in the order in which they were removed; the newest ones only.
@@ -94,7 +94,7 @@
     /// Machines that may still accept or run what earlier terms commanded.
     pub unreconciled: BTreeSet<MachineId>,
     /// Machines that the cloud confirmed to be gone.
-    pub gone: HashSet<MachineId>,
+    pub terminated: HashSet<MachineId>,
     /// When any controller last answered a heartbeat of each machine.
     last_answers: HashMap<MachineId, MonotonicTime>,
     /// Machines whose lease has expired, and the agent epoch that ended with it: what their owner still
@@ -119,11 +119,11 @@
     pub fn begin(cluster: &ClusterView<'_>, before: Option<Fleet>) -> Self {
         let mut fleet = Fleet {
             began: cluster.now,
-            nodes: BTreeMap::new(),
+            controllers: BTreeMap::new(),
             owners: BTreeMap::new(),
             removed: Vec::new(),
             unreconciled: BTreeSet::new(),
-            gone: HashSet::new(),
+            terminated: HashSet::new(),
             last_answers: HashMap::new(),
             expired_leases: BTreeMap::new(),
             absent: HashMap::new(),
@@ -134,7 +134,7 @@
             machines: BTreeMap::new(),
         };
         if let Some(old) = before {
-            fleet.gone = old.gone;
+            fleet.terminated = old.terminated;
             fleet.last_answers = old.last_answers;
             fleet.absent = old.absent;
             fleet.without_heartbeats = old.without_heartbeats;
@@ -145,10 +145,9 @@
                 machine.draining = machine.draining.map(|_| PlanSeq(1));
             }
         }
-        let may_hold =
-            cluster.replica.machines.iter().filter(|(id, record)| {
-                record.up && record.gone.is_none() && !fleet.gone.contains(*id)
-            });
+        let may_hold = cluster.replica.machines.iter().filter(|(id, record)| {
+            record.up && record.gone.is_none() && !fleet.terminated.contains(*id)
+        });
         fleet.unreconciled = may_hold.map(|(id, _)| id.clone()).collect();
         fleet
     }
@@ -159,12 +158,12 @@
         self.owners
             .get(id)
             .is_some_and(|owned| owned.owner == node && state.applied_plan >= owned.since)
-            && !self.gone.contains(id)
+            && !self.terminated.contains(id)
     }
 
     /// Machines as their owners' summaries show them, without those whose lease has expired since.
     fn owned_machines(&self) -> impl Iterator<Item = OwnedView<'_>> {
-        self.nodes.iter().flat_map(|(owner, controller)| self.machines_of(*owner, controller))
+        self.controllers.iter().flat_map(|(owner, controller)| self.machines_of(*owner, controller))
     }
 
     /// The same of one controller.
@@ -191,7 +190,7 @@
 
     /// Views of one owner's machines, as of its last summary.
     pub fn views_of(&self, owner: NodeId) -> impl Iterator<Item = &MachineView> {
-        let controller = self.nodes.get(&owner).into_iter();
+        let controller = self.controllers.get(&owner).into_iter();
         let machines = controller.flat_map(move |controller| self.machines_of(owner, controller));
         machines.map(|owned| &owned.machine.view)
     }
@@ -209,7 +208,7 @@
     }
 
     fn owner_state(&self, id: &MachineId) -> Option<&ControllerState> {
-        self.nodes.get(&self.owners.get(id)?.owner)
+        self.controllers.get(&self.owners.get(id)?.owner)
     }
 
     /// When the cloud preempts a machine, if it gave notice.
--- a/src/fleet/controller_state.rs
+++ b/src/fleet/controller_state.rs
@@ -174,7 +174,7 @@
         }
         let node = summary.node;
         let new_state = || ControllerState::new(summary.incarnation, now);
-        let state = self.nodes.entry(node).or_insert_with(new_state);
+        let state = self.controllers.entry(node).or_insert_with(new_state);
         let changed = state.is_changed_by(&summary);
         state.apply_status(now, &mut summary);
         let is_difference = summary.base_seq > 0;
@@ -199,7 +199,7 @@
     }
 
     fn refuse_summary(&self, summary: &Summary) -> Option<SummaryOutcome> {
-        match self.nodes.get(&summary.node) {
+        match self.controllers.get(&summary.node) {
             // Its predecessor may have started tasks that nobody knows of.
             Some(known) if known.incarnation != summary.incarnation => {
                 Some(SummaryOutcome::NewIncarnation)
@@ -216,7 +216,7 @@
         if self.unreconciled.is_empty() {
             return;
         }
-        let state = &self.nodes[&owner];
+        let state = &self.controllers[&owner];
         let reconciled: Vec<MachineId> = state
             .machines
             .values()
@@ -232,14 +232,16 @@
     /// Controllers that are not lost.
     pub fn live_controllers(&self, now: MonotonicTime) -> Vec<NodeId> {
         let is_live = |state: &ControllerState| now.since(state.received_at) < NODE_LOST_MS;
-        self.nodes.iter().filter(|(_, state)| is_live(state)).map(|(id, _)| *id).collect()
+        self.controllers.iter().filter(|(_, state)| is_live(state)).map(|(id, _)| *id).collect()
     }
 
     /// Controllers that may own machines: they are live, the store serves them, and workers reach them. One
     /// that the store refuses knows neither new jobs nor cancellations, and its right to answer ends soon.
     pub fn eligible_owners(&self, now: MonotonicTime) -> Vec<NodeId> {
         let served = |id: &NodeId| {
-            self.nodes.get(id).is_some_and(|state| state.since_store_response_ms < UNSERVED_MS)
+            self.controllers
+                .get(id)
+                .is_some_and(|state| state.since_store_response_ms < UNSERVED_MS)
         };
         let reached =
             |id: &NodeId| self.without_heartbeats.get(id).is_none_or(|until| *until <= now);
@@ -259,7 +261,8 @@
             return;
         }
         let eligible_owners = self.eligible_owners(now);
-        let silent_ms = |id: &NodeId| self.nodes.get(id).map(|state| state.since_heartbeat_ms);
+        let silent_ms =
+            |id: &NodeId| self.controllers.get(id).map(|state| state.since_heartbeat_ms);
         if !eligible_owners.iter().any(|id| silent_ms(id).is_some_and(|ms| ms < RECEIVES_MS)) {
             return;
         }
@@ -270,7 +273,8 @@
             }
         }
         for id in eligible_owners {
-            let silent = self.nodes.get(&id).is_some_and(|state| state.since_heartbeat_ms > limit);
+            let silent =
+                self.controllers.get(&id).is_some_and(|state| state.since_heartbeat_ms > limit);
             if silent && owned_up.get(&id).is_some_and(|count| *count >= MANY_LEAST) {
                 tracing::warn!(node = id.0, "hears none of its machines");
                 self.without_heartbeats.insert(id, now.plus(WITHOUT_HEARTBEATS_MS));
--- a/src/fleet/lease_expiry.rs
+++ b/src/fleet/lease_expiry.rs
@@ -77,7 +77,7 @@
         let remembered_ms = cluster.settings.timing().answer_memory_ms;
         for index in 0..cluster.nodes.len() {
             let id = NodeId(index as u8);
-            match self.nodes.get(&id) {
+            match self.controllers.get(&id) {
                 Some(state) if state.echoed_clock_ms > 0 => {
                     known_until = known_until.min(MonotonicTime(state.echoed_clock_ms));
                     // Its predecessor ended before this process started.
@@ -115,8 +115,8 @@
     /// lose its tasks with its lease anyway.
     fn receives_well(&self, cluster: &ClusterView<'_>, owner: NodeId) -> bool {
         let stable_ms = plus_drift(cluster.settings.worker_lease_ms()) + 5_000;
-        self.nodes.len() == cluster.nodes.len()
-            && self.nodes.values().all(|state| {
+        self.controllers.len() == cluster.nodes.len()
+            && self.controllers.values().all(|state| {
                 cluster.now.since(state.received_at) < 1_000 && state.uptime_ms > stable_ms
             })
             && self.owned_machines().any(|owned| {
@@ -155,18 +155,18 @@
         let keep_alive_ms = plus_drift(cluster.settings.keep_alive_ms());
         let timing = cluster.settings.timing();
         let up = fleet.machines.values().filter(|machine| machine.up).count();
-        let foreign = fleet.nodes.values().flat_map(|state| &state.foreign_machines);
+        let foreign = fleet.controllers.values().flat_map(|state| &state.foreign_machines);
         let mut check = ReturnCheck {
             fleet,
             cluster,
             owned: fleet.owned_machines().map(|owned| (&owned.machine.view.id, owned)).collect(),
-            restarted: fleet.nodes.values().flat_map(|state| &state.restarted).collect(),
+            restarted: fleet.controllers.values().flat_map(|state| &state.restarted).collect(),
             foreign: foreign
                 .filter(|machine| machine.silent_ms < timing.foreign_machine_ms)
                 .map(|machine| &machine.id)
                 .collect(),
             receiving_well: fleet
-                .nodes
+                .controllers
                 .keys()
                 .copied()
                 .filter(|node| fleet.receives_well(cluster, *node))
--- a/src/fleet/machine_records.rs
+++ b/src/fleet/machine_records.rs
@@ -81,7 +81,7 @@
 impl Fleet {
     /// Whether the cloud confirmed that a machine is gone, in this term or on record.
     pub(super) fn is_gone(&self, cluster: &ClusterView<'_>, id: &MachineId) -> bool {
-        self.gone.contains(id) || cluster.replica.is_machine_gone(id)
+        self.terminated.contains(id) || cluster.replica.is_machine_gone(id)
     }
 
     /// Adds a machine unless it is known.
@@ -94,7 +94,7 @@
     /// Adds machines that a scale-out request brought.
     pub fn add_provisioned(&mut self, now: MonotonicTime, ids: &[MachineId], offer: &MachineOffer) {
         for id in ids {
-            if !self.gone.contains(id) {
+            if !self.terminated.contains(id) {
                 self.add_machine(now, id, offer.clone());
             }
         }
@@ -147,7 +147,7 @@
     /// The cloud confirmed that these machines and all on them are gone; `next` is the plan that will say so.
     pub fn remove_machines(&mut self, ids: &[MachineId], next: PlanSeq) {
         for id in ids {
-            self.gone.insert(id.clone());
+            self.terminated.insert(id.clone());
             if self.owners.remove(id).is_some() {
                 self.removed.push(RemovedMachine { id: id.clone(), since: next });
             }
--- a/src/fleet/ownership.rs
+++ b/src/fleet/ownership.rs
@@ -104,11 +104,11 @@
     ) -> bool {
         // They go back to the cloud; no owner would take them.
         let restarted: Vec<&MachineId> =
-            self.nodes.values().flat_map(|state| &state.restarted).collect();
+            self.controllers.values().flat_map(|state| &state.restarted).collect();
         let mut found: Vec<(MachineId, NodeId)> = Vec::new();
         let mut any_long_waiting = false;
         for node in live_controllers {
-            let Some(state) = self.nodes.get(node) else { continue };
+            let Some(state) = self.controllers.get(node) else { continue };
             for foreign in &state.foreign_machines {
                 if foreign.since_ms > OUT_OF_REACH_MS
                     && foreign.silent_ms < timing.foreign_machine_ms
@@ -144,7 +144,7 @@
     /// Whether a machine's owner received a heartbeat of it lately, or later than the controller that received
     /// one `silent_ms` milliseconds ago.
     fn reaches_owner(&self, now: MonotonicTime, id: &MachineId, silent_ms: u64) -> bool {
-        let owner = self.owners.get(id).and_then(|owned| self.nodes.get(&owned.owner));
+        let owner = self.owners.get(id).and_then(|owned| self.controllers.get(&owned.owner));
         let machine = owner.and_then(|state| state.machines.get(id));
         let limit_ms = silent_ms.max(OUT_OF_REACH_MS);
         machine.is_some_and(|machine| now.since(machine.last_heartbeat) < limit_ms)
@@ -186,7 +186,7 @@
         let unowned: Vec<MachineId> = self
             .machines
             .keys()
-            .filter(|id| !self.owners.contains_key(*id) && !self.gone.contains(*id))
+            .filter(|id| !self.owners.contains_key(*id) && !self.terminated.contains(*id))
             .cloned()
             .collect();
         for id in unowned {
@@ -202,7 +202,8 @@
     /// term is young and members are missing.
     fn assignable_controllers(&self, cluster: &ClusterView<'_>) -> Option<Vec<NodeId>> {
         let mut controllers = self.eligible_owners(cluster.now);
-        controllers.retain(|id| self.nodes[id].since_store_response_ms < ASSIGNABLE_UNSERVED_MS);
+        controllers
+            .retain(|id| self.controllers[id].since_store_response_ms < ASSIGNABLE_UNSERVED_MS);
         let replaced = self.replaced.filter(|id| !controllers.contains(id));
         let awaited = cluster.replica.members.keys().filter(|id| Some(**id) != replaced);
         let expected = awaited.count().min(cluster.nodes.len());
@@ -221,7 +222,7 @@
         let limit_ms = cluster.settings.timing().foreign_machine_ms + FOREIGN_MARGIN_MS;
         let mut out_of_reach: HashMap<MachineId, NodeId> = HashMap::new();
         let mut found: Vec<(MachineId, MachineOffer)> = Vec::new();
-        let live = self.nodes.iter().filter(|(id, _)| live_controllers.contains(id));
+        let live = self.controllers.iter().filter(|(id, _)| live_controllers.contains(id));
         for (node, state) in live {
             let recent = state.foreign_machines.iter().filter(|m| m.silent_ms < limit_ms);
             for foreign in recent {
@@ -247,7 +248,10 @@
     /// Adds the machines that are on record and not known to be gone.
     fn add_recorded_machines(&mut self, cluster: &ClusterView<'_>) {
         for (id, record) in &cluster.replica.machines {
-            if record.gone.is_some() || self.machines.contains_key(id) || self.gone.contains(id) {
+            if record.gone.is_some()
+                || self.machines.contains_key(id)
+                || self.terminated.contains(id)
+            {
                 continue;
             }
             let offer = MachineOffer {
--- a/src/fleet/reconciliation.rs
+++ b/src/fleet/reconciliation.rs
@@ -51,7 +51,7 @@
         ReconciliationEvidence {
             owners,
             expired_leases: self.expired_leases.len(),
-            gone: self.gone.len(),
+            gone: self.terminated.len(),
         }
     }
 
--- a/src/leader/granting.rs
+++ b/src/leader/granting.rs
@@ -25,7 +25,7 @@
 
 /// Jobs that fail wherever some controller tries them.
 fn failing_jobs(fleet: &Fleet) -> HashSet<JobId> {
-    fleet.nodes.values().flat_map(|node| node.failing.iter().map(|job| JobId(*job))).collect()
+    fleet.controllers.values().flat_map(|node| node.failing.iter().map(|job| JobId(*job))).collect()
 }
 
 /// Which teams are at their limit.
--- a/src/leader/machine_records.rs
+++ b/src/leader/machine_records.rs
@@ -64,7 +64,7 @@
 
     /// Whether a machine is terminated and not recorded as that.
     fn has_died(&self, id: &MachineId, record: &MachineRecord) -> bool {
-        record.gone.is_none() && self.fleet.gone.contains(id)
+        record.gone.is_none() && self.fleet.terminated.contains(id)
     }
 
     /// Whether a tombstone is not needed any more.
--- a/src/leader/plans.rs
+++ b/src/leader/plans.rs
@@ -96,7 +96,7 @@
             let grants_awaiting_release = awaiting_release;
             (*id, PlanBody { grants: with_room, grants_awaiting_release, ..common.clone() })
         };
-        self.fleet.nodes.keys().map(body).collect()
+        self.fleet.controllers.keys().map(body).collect()
     }
 
     /// What each controller is granted. Grants that await a release stand in the order in which they
@@ -152,7 +152,7 @@
 
     /// A node's plan as of now, with what it does not follow yet.
     pub fn plan_for(&self, node: NodeId, now: MonotonicTime) -> Option<Plan> {
-        let state = self.fleet.nodes.get(&node).filter(|_| self.plans.seq > PlanSeq(0))?;
+        let state = self.fleet.controllers.get(&node).filter(|_| self.plans.seq > PlanSeq(0))?;
         let body = self.plans.bodies.get(&node)?;
         Some(Plan {
             term: self.term,
--- a/src/leader/tests/summaries.rs
+++ b/src/leader/tests/summaries.rs
@@ -90,8 +90,9 @@
     );
     let late = Summary { machines: vec![], ..summary(5, 0, INCARNATION) };
     receive(late);
-    let newest_number =
-        |controller: &Controller| controller.leader.as_ref().map(|l| l.fleet.nodes[&NodeId(1)].seq);
+    let newest_number = |controller: &Controller| {
+        controller.leader.as_ref().map(|l| l.fleet.controllers[&NodeId(1)].seq)
+    };
     assert_eq!(newest_number(&controller), Some(6), "a late one changes nothing");
     controller.receive_summary(MonotonicTime(1_100), summary(1, 0, other));
     let leader = controller.leader.as_ref().unwrap();
