Shard: a test that summaries show a task from its start until its end

The leader counts a task for its team by what summaries show of it between its start and its end. The test follows one through a cancellation, a kill whose answer comes before the start may have arrived, saving, and its exit.

--- a/src/shard/tests/direct_messages.rs
+++ b/src/shard/tests/direct_messages.rs
@@ -178,3 +178,28 @@
     let then = controller.direct_messages_due(MonotonicTime(1_200), 8);
     assert_eq!((then.len(), then[0].commands.len()), (1, 1));
 }
+
+#[test]
+fn a_task_is_in_summaries_from_its_start_until_a_heartbeat_shows_its_end() {
+    use TaskState::{Exited, Running, SavingCheckpoint};
+    let is_shown = |controller: &mut Controller, ms| {
+        let summary = controller.summary(MonotonicTime(ms), usize::MAX);
+        let mut tasks = summary.machines.iter().flat_map(|machine| &machine.tasks);
+        tasks.any(|view| view.task == TASK)
+    };
+    let mut controller = node(0);
+    assert_eq!(send(&mut controller, 1_000, &heartbeat(1, 5, 3, None)), (true, 1));
+    assert!(is_shown(&mut controller, 1_010), "its start is on its way");
+    cancel(&mut controller, 1_020);
+    assert!(is_shown(&mut controller, 1_030), "its job is cancelled");
+    let kills = controller.direct_messages_due(MonotonicTime(1_030), 8);
+    let kill = kills.iter().find(|message| !message.commands.is_empty()).unwrap();
+    controller.on_direct_response(MonotonicTime(1_040), kill, &heartbeat(1, 6, 3, None));
+    assert!(is_shown(&mut controller, 1_050), "the start may have arrived after the kill");
+    let states = [(7, Running, true), (8, SavingCheckpoint, true), (9, Exited, false)];
+    for (sequence, state, shown) in states {
+        let ms = 200 * sequence;
+        send(&mut controller, ms, &heartbeat(1, sequence, 3, Some(state)));
+        assert_eq!(is_shown(&mut controller, ms + 10), shown, "{state:?}");
+    }
+}
