Shard: a test that waiting starts end with the first plan that does not grant them

Revoked grants are freed on the shard's word that it follows a plan without them, so nothing that was queued by an earlier plan may start then.

--- a/src/shard/tests/starts.rs
+++ b/src/shard/tests/starts.rs
@@ -93,3 +93,37 @@
         assert_eq!(send(&mut controller, 1_040, &again), (true, 0), "{what}: once only");
     }
 }
+
+#[test]
+fn what_waits_to_start_ends_with_the_first_plan_that_does_not_grant_it() {
+    let machine = MachineId::new("n-1");
+    for (granted, starts) in [(true, 1), (false, 0)] {
+        for ahead in [false, true] {
+            let mut controller = node(0);
+            let plan = controller.shard.term_state.plan.clone();
+            let term_state = &mut controller.shard.term_state;
+            if ahead {
+                let start = GrantedStart::awaiting_release(&plan, TASK);
+                term_state.starts_awaiting_release.push(start);
+            } else {
+                let start = GrantedStart::with_room(&plan, TASK, None);
+                term_state.start_queues.insert(machine.clone(), vec![start]);
+            }
+            let grant = Grant { job: 1, tasks: TaskRanges::span(0, 1), zone: None, attempt: None };
+            let grants = if granted { vec![grant] } else { vec![] };
+            controller.shard.follow(Plan {
+                term: TERM,
+                incarnation: INCARNATION,
+                seq: PlanSeq(2),
+                leader_clock_ms: 2,
+                acknowledged_summary: 0,
+                owners: OwnershipChanges { base: PlanSeq(1), ..OwnershipChanges::default() },
+                body: Some(PlanBody { grants, ..PlanBody::default() }),
+                decisions: None,
+            });
+            // Before granted tasks would be assigned anew in any case.
+            let response = send(&mut controller, 300, &heartbeat(1, 5, 3, None));
+            assert_eq!(response, (true, starts), "granted {granted}, ahead {ahead}");
+        }
+    }
+}
