--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,5 +1,5 @@
-"""A job submitted with a mistake leaves a whole fleet unused for minutes. See claim.txt."""
-import os, signal, sys, time
+"""A job that has begun is left waiting beside a machine that is kept for gangs. See claim.txt."""
+import os, signal, sys, threading, time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, '..', 'lib'))
@@ -9,10 +9,14 @@
 END_S = float(os.environ.get('END_S', '116'))
 BOUND_S = 90.0  # "no job is left waiting for 90 s"
 
-FLAVORS = [dict(Sku='kleine-bak', Vcpus=8.0, Accelerators=0.0, MemGb=64.0, LocalGb=70.0, FetchGbPerS=0.3, Hourly=0.71,
-                MarketPrice=0.18, StartupS=40.0, Yards=['schelde', 'leie'])]
+FLAVORS = [
+    dict(Sku='kleine-bak', Vcpus=8.0, Accelerators=0.0, MemGb=64.0, LocalGb=70.0, FetchGbPerS=0.3, Hourly=0.71,
+         MarketPrice=0.18, StartupS=40.0, Yards=['schelde', 'leie']),
+    dict(Sku='grote-bak', Vcpus=64.0, Accelerators=0.0, MemGb=256.0, LocalGb=60.0, FetchGbPerS=0.4, Hourly=4.5,
+         MarketPrice=1.19, StartupS=35.0, Yards=['schelde', 'leie']),
+]
 TEAMS = [dict(name=n, cpus=0.0, cpus_max=0.0, gpus=0.0, gpus_max=0.0) for n in ('tarieven', 'schadeteam', 'incasso')]
-WRONG, JOB = 'wk-000666', 'wk-000001'
+JOB = 'wk-000001'
 
 
 def main():
@@ -27,73 +31,78 @@
 
 def play(rec, site):
     # All machines that the cloud has to give: it refuses further ones with "no capacity".
-    names = [site.cloud.add('kleine-bak', zone, False, 0) for zone in ('schelde', 'leie')]
-    workers = [site.cloud.machines[n]['worker'] for n in names]
+    kleine = site.cloud.add('kleine-bak', 'schelde', False, 0)
+    grote = site.cloud.add('grote-bak', 'leie', False, 0)
     site.start()
     if not site.wait_ready():
         return 2
     time.sleep(1.5)
 
-    def urgent(ref, pieces, team):
-        # As "spoed-reeks".
-        return site.job(ref, Lane='spoed-reeks', Owner=team, Urgency='high', Pieces=pieces, Vcpus=2.0, MemGb=6.2,
-                        Loaners=True, GuessS=18.0, Bundle='img-spoed', SizeGb=0.8)
+    def gangs():
+        # As "reserve-groep": gangs of 2 tasks of 2 CPUs in one zone that may not use cheap machines.
+        for n in range(100, 200):
+            ref = 'wk-%06d' % n
+            site.run[ref] = 15.0
+            site.submit(site.job(ref, Lane='reserve-groep', Owner='schadeteam', Shape='gang', Pieces=2, Vcpus=2.0,
+                                 MemGb=6.4, Loaners=False, OneZone=True, GuessS=20.0, BookmarkS=20.0, StashS=2.0,
+                                 Bundle='img-groep', SizeGb=1.0))
+            time.sleep(20)
 
-    # 24 sound jobs in all, so that the one with a mistake is 4% of the class.
-    for n in range(2, 10):
-        site.run['wk-%06d' % n] = 1.0
-        site.submit(urgent('wk-%06d' % n, 1, 'schadeteam'))
+    threading.Thread(target=gangs, daemon=True).start()
     time.sleep(1.5)
+    # As "spoed-reeks": an urgent array whose tasks may run on any machine.
+    site.run[JOB + '/0'] = 1.0
+    site.run[JOB + '/1'] = 25.0
+    answer = site.submit(site.job(JOB, Lane='spoed-reeks', Owner='tarieven', Urgency='high', Pieces=2, Vcpus=2.0,
+                                  MemGb=6.2, Loaners=True, GuessS=18.0, Bundle='img-spoed', SizeGb=0.8))
+    if not answer or answer[0] != 201:
+        return 2
+    # The job has begun: its first task is done and on record, its second one runs.
+    while now() < 30:
+        if any(p == JOB + '/1' for (_, p, _) in site.on.values()) and 'd/' + JOB in site.store.keys:
+            break
+        time.sleep(0.1)
+    else:
+        rec('the job did not begin as meant')
+        return 2
+    at = [w for (w, p, _) in site.on.values() if p == JOB + '/1'][0]
+    rec('second task is on', at)
     if TROUBLE:
-        rec('trouble:', WRONG, 'is submitted with a mistake')
-        site.faulty.add(WRONG)
-        answer = site.submit(urgent(WRONG, 4, 'incasso'))
-        if not answer or answer[0] != 201:
+        if at != kleine:
+            rec('the task is on the other machine: the case can not run')
             return 2
-        # Its user sees it fail on both machines, and cancels it.
-        while len(site.errors.get(WRONG, ())) < 2 and now() < 22.0:
+        site.cloud.fail(kleine)
+        while kleine in site.cloud.machines:  # until the controllers have given it back, which proves it gone
+            if now() > 60:
+                return 2
             time.sleep(0.1)
-        time.sleep(1.0)
-        answer = site.abort(WRONG)
-        if not answer or answer[1]['Stage'] != 'withdrawn':
-            return 2
-        rec('trouble over:', WRONG, 'is cancelled; it failed on', sorted(site.errors.get(WRONG, ())))
-    else:
-        time.sleep(10.0)
-    site.run[JOB] = 5.0
-    answer = site.submit(urgent(JOB, 1, 'tarieven'))
-    if not answer or answer[0] != 201:
-        return 2
-    for n in range(10, 25):
-        site.run['wk-%06d' % n] = 1.0
-        site.submit(urgent('wk-%06d' % n, 1, 'schadeteam'))
-    waiting = None  # since when the job waits while a machine that fits is up and has room
+        rec('trouble over: the machine is gone')
+    waiting = None  # since when the job waits while the other machine is up and has room
+    worker = site.cloud.machines[grote]['worker']
     polled = 0.0
     while now() < END_S:
         time.sleep(0.2)
+        if grote not in site.cloud.machines:
+            rec('the other machine was given back')
+            return 2
         if now() - polled > 5:
             polled = now()
             state = site.poll(JOB)
             if state and state[0] == 200 and state[1]['Stage'] == 'done':
                 rec('the job is done')
                 return 0
-        started, room = False, []
-        for w in workers:
-            if w.name not in site.cloud.machines:
-                continue
-            with w.lock:
-                cpus, mem, _ = w.free()
-                started |= any(p.startswith(JOB + '/') and x['stage'] != 'ended' for (p, _), x in w.pieces.items())
-                if w.answered is not None and now() - w.answered < 5.0 and cpus >= 2.0 and mem >= 6.2:
-                    room.append('%s (%.0f CPUs)' % (w.name, cpus))
-        if started or not room:
+        with worker.lock:
+            cpus, mem, _ = worker.free()
+            heard = worker.answered is not None and now() - worker.answered < 5.0
+            started = any(p.startswith(JOB + '/') and x['stage'] != 'ended' for (p, _), x in worker.pieces.items())
+        if started or not heard or cpus < 2.0 or mem < 6.2 or any(p.startswith(JOB) for (_, p, _) in site.on.values()):
             waiting = None
         elif waiting is None:
             waiting = now()
-            rec('the job waits; machines that are heard and have room:', *room)
+            rec('the job waits; the other machine is heard and has', cpus, 'CPUs and', mem, 'GB free')
         elif now() - waiting >= BOUND_S:
-            rec('RULE left waiting: %s has waited for %.1f s; machines that fit and have room: %s' % (
-                JOB, now() - waiting, ', '.join(room)))
+            rec('RULE left waiting: %s has waited for %.1f s while a machine that fits has room (%.0f CPUs, %.0f GB)' % (
+                JOB, now() - waiting, cpus, mem))
             return 1
     rec('end:', 'the job has waited for %.1f s' % (now() - waiting) if waiting else 'the job does not wait')
     return 0
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,5 +1,5 @@
-"""A small job for which no machine is ever rented. See claim.txt."""
-import os, signal, sys, threading, time
+"""A job submitted with a mistake leaves a whole fleet unused for minutes. See claim.txt."""
+import os, signal, sys, time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, '..', 'lib'))
@@ -7,20 +7,17 @@
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 END_S = float(os.environ.get('END_S', '116'))
+BOUND_S = 90.0  # "no job is left waiting for 90 s"
 
-FLAVORS = [dict(Sku='may-chuan', Vcpus=16.0, Accelerators=0.0, MemGb=128.0, LocalGb=80.0, FetchGbPerS=0.3, Hourly=0.98,
-                MarketPrice=0.36, StartupS=35.0, Yards=['thu-duc', 'binh-duong'])]
-CAPACITY = {('may-chuan', zone, cheap): 6 for zone in ('thu-duc', 'binh-duong') for cheap in (True, False)}
-TEAMS = [dict(name='kho-hang', cpus=32.0, cpus_max=96.0, gpus=0.0, gpus_max=0.0)]
-JOB = 'wk-000001'
+FLAVORS = [dict(Sku='kleine-bak', Vcpus=8.0, Accelerators=0.0, MemGb=64.0, LocalGb=70.0, FetchGbPerS=0.3, Hourly=0.71,
+                MarketPrice=0.18, StartupS=40.0, Yards=['schelde', 'leie'])]
+TEAMS = [dict(name=n, cpus=0.0, cpus_max=0.0, gpus=0.0, gpus_max=0.0) for n in ('tarieven', 'schadeteam', 'incasso')]
+WRONG, JOB = 'wk-000666', 'wk-000001'
 
 
 def main():
     rec = Record(os.path.join(HERE, 'record.txt'))
-    site = Site(rec, os.path.join(HERE, '..', '..'), TEAMS, ['thu-duc', 'binh-duong'], FLAVORS, CAPACITY, report_s=1.0,
-                lease_s=11.0, cancel_s=36.0, state=dict(rps=250.0, write_rps=60.0, value_kb=8.0, txn_ops=12),
-                cloud_rps=3.0, list_lag_s=3.0, limits=(0.064, 56.0, 600))
-    site.cloud.boot = lambda sku: 21.0  # 0.6 times StartupS, the lower end of what is usual
+    site = Site(rec, os.path.join(HERE, '..', '..'), TEAMS, ['schelde', 'leie'], FLAVORS, {})
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         return play(rec, site)
@@ -29,46 +26,76 @@
 
 
 def play(rec, site):
-    machine = site.cloud.add('may-chuan', 'thu-duc', True, 0)
+    # All machines that the cloud has to give: it refuses further ones with "no capacity".
+    names = [site.cloud.add('kleine-bak', zone, False, 0) for zone in ('schelde', 'leie')]
+    workers = [site.cloud.machines[n]['worker'] for n in names]
     site.start()
     if not site.wait_ready():
         return 2
-    time.sleep(4.0)
-    worker = site.cloud.machines[machine]['worker']
-    if TROUBLE:
-        # The machine loses the network for 40 s, or until it is given back.
-        rec('trouble:', machine, 'loses the network')
-        worker.mute = worker.deaf = True
+    time.sleep(1.5)
+
+    def urgent(ref, pieces, team):
+        # As "spoed-reeks".
+        return site.job(ref, Lane='spoed-reeks', Owner=team, Urgency='high', Pieces=pieces, Vcpus=2.0, MemGb=6.2,
+                        Loaners=True, GuessS=18.0, Bundle='img-spoed', SizeGb=0.8)
 
-        def over():
-            worker.mute = worker.deaf = False
-            rec('trouble over:', machine, 'has the network again' if machine in site.cloud.machines else 'is gone')
-        threading.Timer(40.0, over).start()
-        while machine in site.cloud.machines and now() < 24.0:
+    # 24 sound jobs in all, so that the one with a mistake is 4% of the class.
+    for n in range(2, 10):
+        site.run['wk-%06d' % n] = 1.0
+        site.submit(urgent('wk-%06d' % n, 1, 'schadeteam'))
+    time.sleep(1.5)
+    if TROUBLE:
+        rec('trouble:', WRONG, 'is submitted with a mistake')
+        site.faulty.add(WRONG)
+        answer = site.submit(urgent(WRONG, 4, 'incasso'))
+        if not answer or answer[0] != 201:
+            return 2
+        # Its user sees it fail on both machines, and cancels it.
+        while len(site.errors.get(WRONG, ())) < 2 and now() < 22.0:
             time.sleep(0.1)
-        if machine in site.cloud.machines:
-            rec('the machine was not given back in time: the case can not run')
+        time.sleep(1.0)
+        answer = site.abort(WRONG)
+        if not answer or answer[1]['Stage'] != 'withdrawn':
             return 2
-    while now() < 25.0:
-        time.sleep(0.1)
-    # As "ton-kho", its smallest size: one task of 8 CPUs and 55 GB.
-    site.run[JOB] = 12.0
-    answer = site.submit(site.job(JOB, Lane='ton-kho', Owner='kho-hang', Pieces=1, Vcpus=8.0, MemGb=55.0, GuessS=10.0,
-                                  Bundle='img-kho', SizeGb=1.8))
+        rec('trouble over:', WRONG, 'is cancelled; it failed on', sorted(site.errors.get(WRONG, ())))
+    else:
+        time.sleep(10.0)
+    site.run[JOB] = 5.0
+    answer = site.submit(urgent(JOB, 1, 'tarieven'))
     if not answer or answer[0] != 201:
         return 2
-    accepted = now()
+    for n in range(10, 25):
+        site.run['wk-%06d' % n] = 1.0
+        site.submit(urgent('wk-%06d' % n, 1, 'schadeteam'))
+    waiting = None  # since when the job waits while a machine that fits is up and has room
+    polled = 0.0
     while now() < END_S:
-        state = site.poll(JOB)
-        if state and state[0] == 200 and state[1]['Stage'] == 'done':
-            rec('the job is done')
-            return 0
-        time.sleep(3.0)
-    if site.starts == 0:
-        rec('RULE nothing_ran: %s was accepted %.1f s ago, no task was started; machines rented since the start: %d; '
-            'machines that the cloud has to give: %d' % (JOB, now() - accepted, len(site.cloud.hires),
-                                                         sum(site.cloud.capacity.values())))
-        return 1
+        time.sleep(0.2)
+        if now() - polled > 5:
+            polled = now()
+            state = site.poll(JOB)
+            if state and state[0] == 200 and state[1]['Stage'] == 'done':
+                rec('the job is done')
+                return 0
+        started, room = False, []
+        for w in workers:
+            if w.name not in site.cloud.machines:
+                continue
+            with w.lock:
+                cpus, mem, _ = w.free()
+                started |= any(p.startswith(JOB + '/') and x['stage'] != 'ended' for (p, _), x in w.pieces.items())
+                if w.answered is not None and now() - w.answered < 5.0 and cpus >= 2.0 and mem >= 6.2:
+                    room.append('%s (%.0f CPUs)' % (w.name, cpus))
+        if started or not room:
+            waiting = None
+        elif waiting is None:
+            waiting = now()
+            rec('the job waits; machines that are heard and have room:', *room)
+        elif now() - waiting >= BOUND_S:
+            rec('RULE left waiting: %s has waited for %.1f s; machines that fit and have room: %s' % (
+                JOB, now() - waiting, ', '.join(room)))
+            return 1
+    rec('end:', 'the job has waited for %.1f s' % (now() - waiting) if waiting else 'the job does not wait')
     return 0
 
 
