--- a/review/3/case.py
+++ b/review/3/case.py
@@ -47,7 +47,7 @@
     if TROUBLE:
         rec('trouble:', WRONG, 'is submitted with a mistake')
         site.faulty.add(WRONG)
-        answer = site.submit(urgent(WRONG, 4, 'incasso'))
+        answer = site.submit(urgent(WRONG, 14, 'incasso'))
         if not answer or answer[0] != 201:
             return 2
         # Its user sees it fail on both machines, and cancels it.
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -650,6 +650,8 @@
             d = {'Piece': piece, 'Try': attempt, 'Stage': p['stage']}
             if p.get('cause'):
                 d['Cause'] = p['cause']
+            if p.get('stored'):
+                d['Stored'] = True
             pieces.append(d)
         return {'Host': self.name, 'Endpoint': self.endpoint, 'Hull': self.type, 'Yard': self.zone,
                 'Loaners': self.spot, 'Tenure': self.tenure, 'Tally': self.tally, 'Baton': self.baton,
@@ -693,7 +695,11 @@
                 self.changed.set()
             elif o['Verb'] == 'kill':
                 p = self.pieces.get(key)
-                if p and p['stage'] != 'ended':
+                spec = self.site.jobs.get(piece.split('/')[0])
+                if p and p['stage'] == 'running' and spec['BookmarkS'] > 0 and o['LeewayS'] >= spec['StashS']:
+                    p.update(stage='flushing', until=now() + spec['StashS'])
+                    self.changed.set()
+                elif p and p['stage'] != 'ended' and not (p['stage'] == 'flushing' and o['LeewayS'] > 0):
                     self._end(piece, attempt, 'stopped')
             elif o['Verb'] == 'clear':
                 p = self.pieces.get(key)
@@ -738,6 +744,16 @@
                             self.changed.set()
                         elif now() - p['since'] > self.site.gang_wait_s:
                             self._end(piece, attempt, 'alone')
+                    elif p['stage'] == 'flushing':
+                        if now() >= p['until']:
+                            p['stored'] = True
+                            self._end(piece, attempt, 'stopped')
+                    elif p['stage'] == 'running' and gang and (job, attempt) in self.site.gangs_done:
+                        self.site.done.add(piece)
+                        self._end(piece, attempt, 'done')
+                    elif p['stage'] == 'running' and gang and not self.site.gang_whole(job, attempt):
+                        if now() - p.setdefault('lost', now()) >= self.site.gang_peer_s / 2:
+                            self._end(piece, attempt, 'peers')
                     elif p['stage'] == 'running':
                         run = self.site.run_s(piece)
                         if job in self.site.faulty:   # submitted with a mistake: fails on every machine
@@ -745,6 +761,8 @@
                                 self.site.errors.setdefault(job, set()).add(self.name)
                                 self._end(piece, attempt, 'error')
                         elif run is not None and now() - p['since'] >= run:
+                            if gang:  # they complete together
+                                self.site.gangs_done.add((job, attempt))
                             self.site.done.add(piece)
                             self._end(piece, attempt, 'done')
 
@@ -839,6 +857,7 @@
         self.state = state or dict(rps=200.0, write_rps=80.0, value_kb=8.0, txn_ops=32)
         self.jobs, self.run, self.done, self.on = {}, {}, set(), {}
         self.violations = []
+        self.gangs_done = set()
         self.faulty = set()       # jobs that were submitted with a mistake
         self.errors = {}          # where each of them failed
         self.starts = 0           # start commands that a worker carried out
