--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,5 +1,5 @@
 """A job submitted with a mistake leaves a whole fleet unused for minutes. See claim.txt."""
-import os, signal, sys, time
+import os, signal, sys, time, traceback
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, '..', 'lib'))
@@ -18,7 +18,7 @@
 def main():
     rec = Record(os.path.join(HERE, 'record.txt'))
     site = Site(rec, os.path.join(HERE, '..', '..'), TEAMS, ['schelde', 'leie'], FLAVORS, {})
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    signal.signal(signal.SIGTERM, lambda *_: (site.close(), os._exit(2)))
     try:
         return play(rec, site)
     finally:
@@ -102,7 +102,11 @@
 
 
 if __name__ == '__main__':
-    code = main()
+    try:
+        code = main()
+    except BaseException:  # an error of the script is no broken rule
+        traceback.print_exc()
+        code = 2
     print('case 3:', {0: 'held', 1: 'broken', 2: 'could not run'}[code])
     sys.stdout.flush()
     os._exit(code)
