Log when each controller learns of a cancellation

Whether a task of a cancelled job was started by a controller that did not know of the cancellation, by one that knew, or by a response that was decided before it, could not be told from the logs: starts are logged with the age of their proof, cancellations were not logged.

Each controller now logs, at debug, when a cancellation becomes known to it, with the age of its proof and whether it may start tasks then.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -21,7 +21,7 @@
 use crate::config::{NodeInfo, Settings, StoreLimits};
 use crate::leader::Leader;
 use crate::lease::LeaseRights;
-use crate::model::{ClockReading, Incarnation, MonotonicTime, NodeId, Revision};
+use crate::model::{ClockReading, Incarnation, JobId, MonotonicTime, NodeId, Revision};
 use crate::replica::{LeaderRecord, Replica, ReplicaChanges};
 use crate::resources::MachineCatalog;
 use crate::shard::Shard;
@@ -204,6 +204,7 @@
             self.shard.prune(&self.replica);
         }
         if !replica_changes.cancelled_jobs.is_empty() {
+            self.log_cancellations(now.monotonic, &replica_changes.cancelled_jobs);
             self.shard.queue_cancellation_kills(&replica_changes.cancelled_jobs);
         }
         if replica_changes.job_progress || replica_changes.new_jobs {
@@ -216,6 +217,15 @@
         }
     }
 
+    /// Logs from when on this controller starts no task of the cancelled jobs.
+    fn log_cancellations(&self, now: MonotonicTime, jobs: &[JobId]) {
+        let proof_ms = self.rights.sync_age(now);
+        let may_start = self.loaded && self.rights.may_start(now);
+        for job in jobs {
+            tracing::debug!(%job, proof_ms, may_start, "cancellation became known");
+        }
+    }
+
     /// Replaces all machine types.
     pub fn set_machine_types(&mut self, catalog: &wire::MachineTypes) {
         self.catalog = catalog
