Tasks start only while the controller is a member of the cluster

The right to start tasks counted from the last watch alone. So the absence of a controller's member key, which everybody sees, said nothing about it: a controller whose lease had run out could go on starting tasks for 3.5 s after its last watch, and a process that had registered anew could start tasks on a proof from before.

may_start now also needs a renewal of the member's lease that was sent less than 3 s ago, and a proof of a current replica that was sent after the registration was confirmed. The store removes the key no earlier than 3 s after a renewal was sent, so a controller whose key is absent starts nothing, and what it starts after it is back it starts with a replica that shows everything from before.

The registration asks for a proof at once, so that a started controller does not wait for its next watch.

A row of starting_tasks_requires_a_more_recent_proof_than_answering_ heartbeats expected a start 11 s after the last renewal. It now expects none; the rows on the bound of 3.5 s have newer renewals and the same bound, and there are new rows for the renewals.

Measured: new test a_controller_whose_member_key_is_absent_starts_no_ tasks; without the proof after the registration it fails ("the proof may be older than the registration"), without the renewal too ("the key may be absent 3 s after the renewal").

--- a/src/lease.rs
+++ b/src/lease.rs
@@ -29,6 +29,11 @@
 /// be lost.
 const STORE_OUTAGE_MS: u64 = CONTROLLER_LEASE_MS;
 
+/// Maximum age in milliseconds of the last confirmed renewal for starting a task. The store removes
+/// a controller's member key no earlier than this time after the renewal was sent, so a controller
+/// whose key is absent may not start tasks.
+const MAX_RENEWAL_AGE_FOR_START_MS: u64 = CONTROLLER_LEASE_MS;
+
 /// Shortens a duration in milliseconds by the clock drift, for the rights of this process.
 /// Monotonic clocks drift apart by at most 0.05%; twice this drift is subtracted.
 pub fn minus_drift(ms: u64) -> u64 {
@@ -50,6 +55,9 @@
     pub lease: Option<StoreLease>,
     /// Time at which the last confirmed renewal of the lease was sent.
     renewal_sent: Option<MonotonicTime>,
+    /// Time at which this controller learned that its member key, bound to `lease`, was written;
+    /// `None` without a lease.
+    registered_at: Option<MonotonicTime>,
     /// Time at which the last request was sent whose response proved the replica current.
     sync_sent: Option<MonotonicTime>,
     /// Start of the period in which the store has served this controller without a break.
@@ -64,6 +72,14 @@
         LeaseRights { keep_alive_ms, ..LeaseRights::default() }
     }
 
+    /// Records that this controller's member key was written, bound to a new lease, by a request
+    /// sent at `sent` whose response arrived at `now`.
+    pub fn register(&mut self, lease: StoreLease, sent: MonotonicTime, now: MonotonicTime) {
+        self.lease = Some(lease);
+        self.registered_at = Some(now);
+        self.confirm_renewal(sent);
+    }
+
     /// Records that a renewal of the lease that holds this controller's key, sent at `sent`, was
     /// confirmed.
     pub fn confirm_renewal(&mut self, sent: MonotonicTime) {
@@ -81,6 +97,7 @@
     /// remains valid for its duration.
     pub fn lose_lease(&mut self) {
         self.lease = None;
+        self.registered_at = None;
     }
 
     /// Whether heartbeats may be answered, which renews the workers' leases. Both proofs are
@@ -99,10 +116,18 @@
     /// Whether tasks may be started. A controller without a recent response from the store may have
     /// missed cancellations that other controllers confirmed. Keeping workers alive is bounded by
     /// `cancel_s`; a cancelled task must not be started at all.
+    ///
+    /// A controller whose member key is absent may not start tasks either, and after it has written
+    /// the key again, its replica has to be proven current first. Other controllers rely on this
+    /// when they confirm a cancellation without its acknowledgement.
     pub fn may_start(&self, now: MonotonicTime) -> bool {
-        let max_age_ms = minus_drift(MAX_SYNC_AGE_FOR_START_MS.min(self.keep_alive_ms));
-        self.may_answer(now)
-            && self.sync_sent.is_some_and(|sync_sent| now < sync_sent.plus(max_age_ms))
+        let max_sync_age_ms = minus_drift(start_right_ms(self.keep_alive_ms));
+        let is_registered = self.registered_at.is_some()
+            && self
+                .renewal_sent
+                .is_some_and(|sent| now < sent.plus(minus_drift(MAX_RENEWAL_AGE_FOR_START_MS)));
+        let is_synced = self.sync_sent.is_some_and(|sent| now < sent.plus(max_sync_age_ms));
+        is_registered && is_synced && self.sync_sent > self.registered_at && self.may_answer(now)
     }
 
     /// Whether this controller, if elected, may still act as the leader.
@@ -142,6 +167,18 @@
     }
 }
 
+/// Milliseconds for which a proof of a current replica allows a controller to start tasks, if it
+/// allows the controller to keep workers alive for `keep_alive_ms`.
+fn start_right_ms(keep_alive_ms: u64) -> u64 {
+    MAX_SYNC_AGE_FOR_START_MS.min(keep_alive_ms)
+}
+
+/// Milliseconds after a change of the store from which a controller that does not know of the
+/// change may not start tasks, by the clock of any other process.
+pub fn start_right_expiry_ms(keep_alive_ms: u64) -> u64 {
+    plus_drift(start_right_ms(keep_alive_ms))
+}
+
 /// Returns the latest time, by the leader's clock, at which a controller whose key has been absent
 /// since `absent_since` can have answered a heartbeat. The controller's last renewal was sent a
 /// whole lease earlier at the latest, and its right to answer lasted `keep_alive_ms` milliseconds
--- a/src/lease/tests.rs
+++ b/src/lease/tests.rs
@@ -49,20 +49,51 @@
     // confirmed, until its right to answer ends. (keep-alive, renewal sent, sync sent, now, all in
     // milliseconds, may start, may answer)
     let cases = [
-        (18_000, 1_000, 1_000, 4_400, true, true),
-        (18_000, 1_000, 1_000, 4_500, false, true),
+        (18_000, 3_000, 1_000, 4_400, true, true),
+        (18_000, 3_000, 1_000, 4_500, false, true),
         (18_000, 9_000, 1_000, 9_100, false, true),
-        // A start depends on a current replica; without lease renewals, the right to answer ends.
-        (18_000, 1_000, 9_000, 12_000, true, true),
+        // A start also depends on a recent renewal: the member key may be absent otherwise.
+        (18_000, 1_000, 3_000, 3_990, true, true),
+        (18_000, 1_000, 3_000, 4_000, false, true),
+        (18_000, 1_000, 9_000, 12_000, false, true),
         (18_000, 1_000, 20_000, 20_100, false, false),
         (2_000, 1_000, 1_000, 2_900, true, true),
         (2_000, 1_000, 1_000, 3_000, false, false),
     ];
     for (keep_alive, renewal_sent, sync_sent, now, start, answer) in cases {
         let mut rights = LeaseRights::new(keep_alive);
+        rights.register(StoreLease(1), MonotonicTime(0), MonotonicTime(0));
         rights.confirm_renewal(MonotonicTime(renewal_sent));
         rights.confirm_sync(MonotonicTime(sync_sent));
         let got = (rights.may_start(MonotonicTime(now)), rights.may_answer(MonotonicTime(now)));
         assert_eq!(got, (start, answer), "{keep_alive} {renewal_sent} {sync_sent} {now}");
     }
 }
+
+#[test]
+fn a_controller_whose_member_key_is_absent_starts_no_tasks() {
+    // Guards against a controller that starts tasks of a job whose cancellation another one has confirmed without its
+    // acknowledgement, because its member key was absent.
+    let mut rights = LeaseRights::new(18_000);
+    rights.confirm_sync(MonotonicTime(500));
+    assert!(!rights.may_start(MonotonicTime(600)), "never registered");
+    rights.register(StoreLease(1), MonotonicTime(900), MonotonicTime(1_000));
+    rights.confirm_sync(MonotonicTime(1_000));
+    assert!(
+        !rights.may_start(MonotonicTime(1_100)),
+        "the proof may be older than the registration"
+    );
+    rights.confirm_sync(MonotonicTime(1_001));
+    assert!(rights.may_start(MonotonicTime(1_100)));
+    rights.confirm_sync(MonotonicTime(3_500));
+    assert!(rights.may_start(MonotonicTime(3_890)));
+    assert!(!rights.may_start(MonotonicTime(3_900)), "the key may be absent 3 s after the renewal");
+    rights.confirm_renewal(MonotonicTime(3_950));
+    assert!(rights.may_start(MonotonicTime(4_000)));
+    rights.lose_lease();
+    assert!(!rights.may_start(MonotonicTime(4_010)), "the lease was lost");
+    rights.register(StoreLease(2), MonotonicTime(4_100), MonotonicTime(4_150));
+    assert!(!rights.may_start(MonotonicTime(4_200)), "no proof since the registration");
+    rights.confirm_sync(MonotonicTime(4_300));
+    assert!(rights.may_start(MonotonicTime(4_310)));
+}
--- a/src/service/leader_election.rs
+++ b/src/service/leader_election.rs
@@ -79,10 +79,9 @@
         let sent = self.now();
         match self.store.commit(&txn).await? {
             TxnOutcome::Committed(_) => {
-                let mut controller = self.controller.borrow_mut();
-                controller.rights.lease = Some(lease);
-                controller.rights.confirm_renewal(sent);
-                drop(controller);
+                self.controller.borrow_mut().rights.register(lease, sent, self.now());
+                // Tasks may be started once the replica is proven current after the registration.
+                self.confirmations.request_without_waiting();
                 self.wake_ups.election.notify_one();
                 Ok(())
             }
--- a/src/shard/tests.rs
+++ b/src/shard/tests.rs
@@ -54,7 +54,7 @@
         ],
         Revision(9),
     );
-    controller.rights.lease = Some(StoreLease(1));
+    controller.rights.register(StoreLease(1), MonotonicTime(0), MonotonicTime(0));
     let moment = ClockReading { monotonic: MonotonicTime(0), wall: WallTime(0) };
     controller
         .on_replica_changes(moment, &ReplicaChanges { leader: true, ..ReplicaChanges::default() });
--- a/tests/sim/world/controllers.rs
+++ b/tests/sim/world/controllers.rs
@@ -192,8 +192,7 @@
         }
         let outcome = self.commit(n, &txn);
         if let (Some(TxnOutcome::Committed(_)), Ok(node)) = (outcome, &mut self.nodes[n]) {
-            node.controller.rights.lease = Some(lease);
-            node.controller.rights.confirm_renewal(sent);
+            node.controller.rights.register(lease, sent, sent);
         }
     }
 
