--- a/src/api.rs
+++ b/src/api.rs
@@ -1,6 +1,7 @@
 //! The HTTP API for users, workers and health checks.
 //!
-//! A job is reported as accepted, cancelled or unknown only after the state store has confirmed it. A controller that
+//! A job is reported as accepted, cancelled or unknown only after the state store has confirmed it, and as cancelled
+//! only once no controller starts tasks of it any more. A controller that
 //! cannot reach the store forwards user requests to its peers, and forwarded requests are not forwarded again. If no
 //! peer can serve the request, the user gets 503 without further delay and may retry: all requests are idempotent by
 //! job id.
@@ -18,7 +19,9 @@
 use crate::peer::{Forwarding, PeerRequest, PeerResponse};
 use crate::placement;
 use crate::replica::{self, ReplicaChanges};
-use crate::service::{CancellationOutcome, ConfirmError, Service, SubmissionOutcome};
+use crate::service::{
+    CancellationOutcome, ConfirmError, EndedJobStatus, Service, SubmissionOutcome,
+};
 use crate::store_client::StoreError;
 use crate::wire::{self, JobAnswer, JobKind, JobSpec, JobState};
 
@@ -51,6 +54,14 @@
 /// Time limit for one peer to answer a forwarded request. It is half of [`FORWARDING_TIMEOUT`], so that two peers can
 /// be tried.
 const PEER_FORWARDING_TIMEOUT: Duration = Duration::from_millis(450);
+/// Maximum time from the arrival of a cancellation request for which its response waits for the cancellation to become
+/// effective. Users wait 5 s for the response.
+const MAX_CANCELLATION_WAIT: Duration = Duration::from_millis(4_500);
+/// Maximum wait of a query or a repeated submission, together with a confirmation of the replica. Users wait 2 s for
+/// the response to a query.
+const MAX_QUERY_WAIT: Duration = Duration::from_millis(1_600);
+/// Maximum wait of a forwarded request, shorter than [`PEER_FORWARDING_TIMEOUT`].
+const MAX_FORWARDED_WAIT: Duration = Duration::from_millis(350);
 /// Maximum number of attempts to write a cancellation. An attempt fails if the job's progress changes concurrently.
 const MAX_CANCELLATION_ATTEMPTS: usize = 4;
 
@@ -74,6 +85,30 @@
     Unknown,
 }
 
+/// How a request may be served: whether it may be forwarded, and how long it may wait for a cancellation to become
+/// effective.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RequestLimits {
+    forwarding: Forwarding,
+    /// Time at which the wait for a cancellation ends.
+    wait_until: Instant,
+}
+
+impl RequestLimits {
+    /// Limits for a request of a user, which may wait for `max_wait`.
+    fn for_user(max_wait: Duration) -> Self {
+        RequestLimits { forwarding: Forwarding::Allowed, wait_until: Instant::now() + max_wait }
+    }
+
+    /// Limits for a request that another controller forwarded.
+    pub(crate) fn for_forwarded() -> Self {
+        RequestLimits {
+            forwarding: Forwarding::Forbidden,
+            wait_until: Instant::now() + MAX_FORWARDED_WAIT,
+        }
+    }
+}
+
 /// Why a job could not be looked up.
 #[derive(Debug, Error)]
 enum LookupError {
@@ -132,9 +167,9 @@
             return Response::empty(404);
         };
         if is_abort {
-            self.abort(id, Forwarding::Allowed).await
+            self.abort(id, RequestLimits::for_user(MAX_CANCELLATION_WAIT)).await
         } else {
-            self.query(id, Forwarding::Allowed).await
+            self.query(id, RequestLimits::for_user(MAX_QUERY_WAIT)).await
         }
     }
 
@@ -199,51 +234,56 @@
         if let Err(e) = spec.check() {
             return error_response(400, &e.to_string());
         }
-        self.submit(spec, Forwarding::Allowed).await
+        self.submit(spec, RequestLimits::for_user(MAX_QUERY_WAIT)).await
     }
 
     /// Accepts a submission, or forwards it if this controller cannot write to the store.
-    pub(crate) async fn submit(&self, spec: JobSpec, forwarding: Forwarding) -> Response {
+    pub(crate) async fn submit(&self, spec: JobSpec, limits: RequestLimits) -> Response {
         let id = spec.id;
-        if let Some(response) = self.final_response(id) {
+        if let Some(response) = self.ended_response(id, limits).await {
             return response;
         }
         if !self.store_available() {
-            return self.forward_if_allowed(forwarding, PeerRequest::Submit(spec)).await;
+            return self.forward_if_allowed(limits, PeerRequest::Submit(spec)).await;
         }
         let known = self.controller.borrow().replica.jobs.contains_key(&id);
         if !known {
-            if let Some(rejection) = self.reject_if_infeasible(&spec).await {
+            if let Some(rejection) = self.reject_if_infeasible(&spec, limits).await {
                 return rejection;
             }
             match self.accept_submission(spec.clone()).await {
                 // Before the store's response arrived here, other controllers may have read the job and cancelled
                 // it.
                 SubmissionOutcome::New => {
-                    return self.final_response(id).unwrap_or_else(|| accepted_response(id));
+                    let ended = self.ended_response(id, limits).await;
+                    return ended.unwrap_or_else(|| accepted_response(id));
                 }
                 SubmissionOutcome::Known => {}
                 SubmissionOutcome::Failed => {
-                    return self.forward_if_allowed(forwarding, PeerRequest::Submit(spec)).await;
+                    return self.forward_if_allowed(limits, PeerRequest::Submit(spec)).await;
                 }
             }
         }
-        match self.lookup(id).await {
+        match self.lookup(id, limits).await {
             Ok(Lookup::Known(response)) => response,
             Ok(Lookup::Unknown) | Err(_) => {
-                self.forward_if_allowed(forwarding, PeerRequest::Submit(spec)).await
+                self.forward_if_allowed(limits, PeerRequest::Submit(spec)).await
             }
         }
     }
 
     /// Returns the response to a submission whose job can never run, or whose feasibility is not known yet. Returns
     /// `None` if the job is to be accepted.
-    async fn reject_if_infeasible(&self, spec: &JobSpec) -> Option<Response> {
+    async fn reject_if_infeasible(
+        &self,
+        spec: &JobSpec,
+        limits: RequestLimits,
+    ) -> Option<Response> {
         match self.feasibility(spec) {
             Feasibility::Feasible => None,
             Feasibility::Unknown => Some(Response::unavailable(1)),
             // A repeated submission of an accepted job is never rejected as infeasible.
-            Feasibility::Infeasible(reason) => Some(match self.lookup(spec.id).await {
+            Feasibility::Infeasible(reason) => Some(match self.lookup(spec.id, limits).await {
                 Ok(Lookup::Unknown) => error_response(422, reason),
                 Ok(Lookup::Known(response)) => response,
                 Err(_) => Response::unavailable(1),
@@ -251,9 +291,9 @@
         }
     }
 
-    /// Forwards a request if `forwarding` allows it; responds with 503 otherwise.
-    async fn forward_if_allowed(&self, forwarding: Forwarding, request: PeerRequest) -> Response {
-        match forwarding {
+    /// Forwards a request if its limits allow it; responds with 503 otherwise.
+    async fn forward_if_allowed(&self, limits: RequestLimits, request: PeerRequest) -> Response {
+        match limits.forwarding {
             Forwarding::Allowed => self.forward(request).await,
             Forwarding::Forbidden => Response::unavailable(1),
         }
@@ -293,19 +333,27 @@
         Feasibility::Feasible
     }
 
-    /// Returns the response for a job that has ended. Its state can no longer change.
-    fn final_response(&self, id: JobId) -> Option<Response> {
-        let answer = self.controller.borrow().final_answer(id)?;
-        Some(Response::new(200, wire::encode(&answer)))
+    /// Returns the response for a job that has ended; `None` if the job is not known to have ended. Waits for a
+    /// cancellation to become effective, and refuses the request if that takes too long. Every response that shows a
+    /// job as ended is made here.
+    async fn ended_response(&self, id: JobId, limits: RequestLimits) -> Option<Response> {
+        let max_wait = limits.wait_until.saturating_duration_since(Instant::now());
+        Some(match self.ended_status(id, limits.forwarding, max_wait).await? {
+            EndedJobStatus::Final(answer) => Response::new(200, wire::encode(&answer)),
+            EndedJobStatus::NotEffective { retry_after_s } => Response::unavailable(retry_after_s),
+        })
     }
 
     /// Looks up the current state of a job.
-    async fn lookup(&self, id: JobId) -> Result<Lookup, LookupError> {
-        if let Some(response) = self.final_response(id) {
+    async fn lookup(&self, id: JobId, limits: RequestLimits) -> Result<Lookup, LookupError> {
+        if let Some(response) = self.ended_response(id, limits).await {
             return Ok(Lookup::Known(response));
         }
         self.confirm_replica().await?;
-        if let Some(response) = self.final_response(id).or_else(|| self.open_response(id)) {
+        if let Some(response) = self.ended_response(id, limits).await {
+            return Ok(Lookup::Known(response));
+        }
+        if let Some(response) = self.open_response(id) {
             return Ok(Lookup::Known(response));
         }
         // The replica has dropped jobs that ended long ago and may lack one accepted a moment ago. The store is read
@@ -316,7 +364,7 @@
                 known = true;
                 let mut replica_changes = ReplicaChanges::default();
                 self.controller.borrow_mut().replica.load(&item, &mut replica_changes);
-                if let Some(response) = self.final_response(id) {
+                if let Some(response) = self.ended_response(id, limits).await {
                     return Ok(Lookup::Known(response));
                 }
             }
@@ -334,24 +382,24 @@
     }
 
     /// Handles a query for the state of a job.
-    pub(crate) async fn query(&self, id: JobId, forwarding: Forwarding) -> Response {
-        if let Some(response) = self.final_response(id) {
+    pub(crate) async fn query(&self, id: JobId, limits: RequestLimits) -> Response {
+        if let Some(response) = self.ended_response(id, limits).await {
             return response;
         }
         if self.store_available() {
-            match self.lookup(id).await {
+            match self.lookup(id, limits).await {
                 Ok(Lookup::Known(response)) => return response,
                 Ok(Lookup::Unknown) => return Response::empty(404),
                 Err(e) => debug!(error = %e, job = %id, "job lookup failed"),
             }
         }
-        self.forward_if_allowed(forwarding, PeerRequest::Query(id)).await
+        self.forward_if_allowed(limits, PeerRequest::Query(id)).await
     }
 
     /// Cancels a job and responds with its final state. A job that has already ended is left unchanged.
-    pub(crate) async fn abort(self: &Rc<Self>, id: JobId, forwarding: Forwarding) -> Response {
+    pub(crate) async fn abort(self: &Rc<Self>, id: JobId, limits: RequestLimits) -> Response {
         for _ in 0..MAX_CANCELLATION_ATTEMPTS {
-            if let Some(response) = self.final_response(id) {
+            if let Some(response) = self.ended_response(id, limits).await {
                 return response;
             }
             if !self.store_available() {
@@ -359,7 +407,7 @@
             }
             let known = self.controller.borrow().replica.jobs.contains_key(&id);
             if !known {
-                match self.lookup(id).await {
+                match self.lookup(id, limits).await {
                     Ok(Lookup::Unknown) => return Response::empty(404),
                     Ok(Lookup::Known(_)) => continue,
                     Err(_) => break,
@@ -378,9 +426,9 @@
                 }
             }
         }
-        match self.final_response(id) {
+        match self.ended_response(id, limits).await {
             Some(response) => response,
-            None => self.forward_if_allowed(forwarding, PeerRequest::Cancel(id)).await,
+            None => self.forward_if_allowed(limits, PeerRequest::Cancel(id)).await,
         }
     }
 }
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -9,6 +9,7 @@
 //! - `coordination`: summaries, epochs and plans exchanged between the leader and the shards;
 //! - `completions`: group writes of completed tasks;
 //! - `jobs`: submissions, cancellations and answers to users;
+//! - `cancellations`: when users may be told that a job is cancelled;
 //! - `workers`: heartbeats and direct commands.
 //!
 //! Invariants: nothing is decided before the store has been read in full once; terms never
@@ -28,13 +29,18 @@
 use crate::standby::Standby;
 use crate::wire::{self, Change, KeyValue, Txn, WatchResponse};
 
+mod cancellations;
 mod completions;
 mod coordination;
 mod election;
 mod failover;
 mod jobs;
+mod revision_history;
 mod workers;
 
+use cancellations::CancellationTracker;
+
+pub use cancellations::EndedAnswer;
 pub use election::Candidacy;
 pub use jobs::submission_txn;
 
@@ -68,6 +74,8 @@
     /// State service limits that writes observe. They are lowered when the store rejects a write
     /// that fits the settings.
     pub limits: StoreLimits,
+    /// Knowledge from which this controller concludes that cancellations are effective.
+    cancellations: CancellationTracker,
     /// Leader of a later term than the replica's, as reported by a peer.
     leader_from_peer: Option<LeaderRecord>,
     /// Warm standby; `None` if it is not enabled.
@@ -87,6 +95,7 @@
             loaded: false,
             store_ok: false,
             last_peer_contact: MonotonicTime(0),
+            cancellations: CancellationTracker::default(),
             leader_from_peer: None,
             standby: None,
             limits: settings.params.store.clone(),
@@ -197,6 +206,7 @@
 
     /// Reacts to changes of the replica: terms, cancellations, gangs and machine types.
     pub fn on_replica_changes(&mut self, now: ClockReading, replica_changes: &ReplicaChanges) {
+        self.observe_replica(now.monotonic);
         if replica_changes.leader {
             self.follow_leader_key(now);
         }
--- a/src/controller/jobs.rs
+++ b/src/controller/jobs.rs
@@ -11,17 +11,6 @@
 use crate::wire::{self, Change, Condition, KeyValue, Txn};
 
 impl Controller {
-    /// Returns the answer for an ended job, which can no longer change; `None` if the job has not
-    /// ended or is unknown.
-    pub fn final_answer(&self, id: JobId) -> Option<wire::JobAnswer> {
-        let replica::EndedJob { state, done } = self.replica.ended.get(&id).copied()?;
-        let reason = match state {
-            wire::JobState::Cancelled => Some("cancelled by its user".to_string()),
-            _ => None,
-        };
-        Some(wire::JobAnswer { job: id, state, done, running: 0, reason })
-    }
-
     /// Returns the answer for a job that has not ended, according to the replica; `None` if the
     /// replica holds no such job.
     pub fn open_answer(&self, id: JobId) -> Option<wire::JobAnswer> {
--- a/src/controller/tests.rs
+++ b/src/controller/tests.rs
@@ -9,6 +9,8 @@
 use crate::store_client::leader_writes_per_s;
 use crate::wire::tests::spec;
 
+mod cancellations;
+
 #[test]
 fn a_later_term_from_a_peer_ends_the_known_term() {
     // Guards against workers kept on an old fencing token: in a benchmark, an old leader that the
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -17,8 +17,8 @@
 
 pub use lists::{ForeignMachine, Grant, JobStatus, MachineView, TaskView};
 pub use messages::{
-    GangStop, OwnershipChanges, PeerRequest, PeerResponse, Plan, PlanBody, StoreMessage, Summary,
-    WaitReason,
+    CancellationNotice, GangStop, OwnershipChanges, PeerRequest, PeerResponse, Plan, PlanBody,
+    StoreMessage, Summary, WaitReason,
 };
 
 /// Error for a message that is not MessagePack or has an unexpected shape, such as an enum variant
--- a/src/peer/messages.rs
+++ b/src/peer/messages.rs
@@ -188,6 +188,17 @@
     pub grace_ms: u64,
 }
 
+/// Notice of a durable cancellation to another controller, which acknowledges it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CancellationNotice {
+    /// Cancelled job.
+    pub job: JobId,
+    /// Number of the job's tasks that are durably done.
+    pub done: u32,
+    /// Version of the progress record that cancelled the job.
+    pub version: Revision,
+}
+
 /// Request between controllers.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum PeerRequest {
@@ -207,10 +218,14 @@
     #[serde(rename = "Abort")]
     Cancel(JobId),
     /// Reports a durable cancellation of a job, with the job's progress record and the record's
-    /// revision. Only for controllers whose member record lists this capability. Answered like
-    /// `StoreReachable`.
+    /// revision. Only for controllers whose member record lists this capability but not
+    /// `CancellationNotices`. Answered like `StoreReachable`.
     #[serde(rename = "Ended")]
     JobCancelled(JobId, Progress, Revision),
+    /// Reports durable cancellations, and asks whether the receiver knows of them from now on. Only
+    /// for controllers whose member record lists this capability. Answered by
+    /// [`PeerResponse::CancellationsKnown`].
+    CancellationNotices(Vec<CancellationNotice>),
     /// Asks when the receiver got the last message of the leader of this term. Only for controllers
     /// whose member record lists this capability.
     LeaderSilence(Term),
@@ -236,6 +251,8 @@
     Leader(Option<LeaderRecord>),
     /// Answer to a forwarded request: status and CBOR body.
     Answer(u16, Vec<u8>),
+    /// Reported cancellations that the responder knows: it starts no tasks of these jobs any more.
+    CancellationsKnown(Vec<JobId>),
     /// Milliseconds since the last message of the leader in question; `None` if the responder does
     /// not follow this leader.
     LeaderSilence(Option<u64>),
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -35,9 +35,10 @@
 };
 pub use machine_types::machine_type_changes;
 pub use records::{
-    Accepted, CAPABILITIES, CAPABILITY_CANCELLATION_NOTICE, CAPABILITY_GANGS,
-    CAPABILITY_GRANTS_AHEAD, CAPABILITY_STANDBY, EpochRecord, LeaderRecord, MachineGroup,
-    MachineRecord, MemberRecord, Progress, ResidualUsage, TermRecord,
+    Accepted, CAPABILITIES, CAPABILITY_CANCELLATION_ACKNOWLEDGEMENT,
+    CAPABILITY_CANCELLATION_NOTICE, CAPABILITY_GANGS, CAPABILITY_GRANTS_AHEAD, CAPABILITY_STANDBY,
+    EpochRecord, LeaderRecord, MachineGroup, MachineRecord, MemberRecord, Progress, ResidualUsage,
+    TermRecord,
 };
 pub use versioned::{RecordError, Versioned};
 
@@ -70,6 +71,8 @@
     local_node: NodeId,
     /// Revision up to which all changes are applied.
     pub revision: Revision,
+    /// Highest revision that any record or response has shown. Not all changes up to it are applied.
+    pub newest_revision: Revision,
     /// Jobs that have not ended.
     pub jobs: BTreeMap<JobId, Job>,
     /// Most recently ended jobs, at most `MAX_ENDED_JOBS`.
@@ -121,6 +124,7 @@
         Replica {
             local_node,
             revision: Revision::default(),
+            newest_revision: Revision::default(),
             jobs: BTreeMap::new(),
             ended: HashMap::new(),
             ended_order: VecDeque::new(),
@@ -147,6 +151,7 @@
     /// Replaces the replica with one that was read in full, keeping the facts that never change.
     pub fn replace(&mut self, read: Replica) {
         let previous = std::mem::replace(self, read);
+        self.newest_revision = self.newest_revision.max(previous.newest_revision);
         for id in previous.ended_order {
             if let Some(end) = previous.ended.get(&id) {
                 self.record_end(id, *end);
@@ -180,11 +185,13 @@
             }
         }
         self.revision = self.revision.max(response.revision);
+        self.newest_revision = self.newest_revision.max(response.revision);
         changes
     }
 
     /// Records a key's new value. Only this function logs values that cannot be used.
     fn put(&mut self, key: &str, value: &Value, version: Revision, changes: &mut ReplicaChanges) {
+        self.newest_revision = self.newest_revision.max(version);
         let Some(store_key) = StoreKey::parse(key) else { return };
         match (self.try_put(store_key, value, version, changes), store_key) {
             (Ok(()), _) => {}
--- a/src/replica/jobs.rs
+++ b/src/replica/jobs.rs
@@ -122,7 +122,9 @@
         }
         changes.job_progress = true;
         if let Some(state) = progress.value.end {
-            self.end_job(id, state, progress.value, changes);
+            let Versioned { value, version } = progress;
+            let end = EndedJob { state, done: value.done.len(), version };
+            self.end_job(id, end, value.gang, changes);
         } else if let Some(job) = self.jobs.get_mut(&id) {
             if job.progress_version < progress.version {
                 job.progress = progress.value;
@@ -134,26 +136,41 @@
         Ok(())
     }
 
-    /// Records a job's end and the resources that its tasks may still use.
+    /// Records a job's cancellation at revision `version`, with `done` tasks completed, as another
+    /// controller reports it.
+    pub fn record_cancellation(
+        &mut self,
+        id: JobId,
+        done: u32,
+        version: Revision,
+        changes: &mut ReplicaChanges,
+    ) {
+        self.newest_revision = self.newest_revision.max(version);
+        if self.ended.contains_key(&id) {
+            return;
+        }
+        changes.job_progress = true;
+        self.end_job(id, EndedJob { state: JobState::Cancelled, done, version }, None, changes);
+    }
+
+    /// Records a job's end and the resources that its tasks may still use, which are given for a
+    /// completed gang.
     fn end_job(
         &mut self,
         id: JobId,
-        state: JobState,
-        progress: Progress,
+        end: EndedJob,
+        gang: Option<ResidualUsage>,
         changes: &mut ReplicaChanges,
     ) {
-        let done = progress.done.len();
         let job = self.jobs.remove(&id);
-        let residual_usage = if state == JobState::Cancelled {
-            job.map(|job| ResidualUsage::of(&job.spec, done))
-        } else {
-            progress.gang
-        };
+        let is_cancelled = end.state == JobState::Cancelled;
+        let residual_usage =
+            if is_cancelled { job.map(|job| ResidualUsage::of(&job.spec, end.done)) } else { gang };
         if let Some(residual_usage) = residual_usage {
             self.record_residual_usage(id, residual_usage);
         }
         self.progress_without_job.remove(&id);
-        if self.record_end(id, EndedJob { state, done }) && state == JobState::Cancelled {
+        if self.record_end(id, end) && is_cancelled {
             changes.cancelled_jobs.push(id);
         }
     }
@@ -198,6 +215,8 @@
     pub state: JobState,
     /// Number of tasks that were done.
     pub done: u32,
+    /// Version of the progress record that ended the job.
+    pub version: Revision,
 }
 
 /// Returns the job description to store. If it exceeds `max_bytes`, machine types that are not in
--- a/src/replica/queries.rs
+++ b/src/replica/queries.rs
@@ -7,8 +7,8 @@
 use crate::wire::{Condition, JobState};
 
 use super::{
-    CAPABILITY_CANCELLATION_NOTICE, CAPABILITY_GANGS, CAPABILITY_GRANTS_AHEAD, CAPABILITY_STANDBY,
-    LEADER_KEY, Replica, StoreKey,
+    CAPABILITY_CANCELLATION_ACKNOWLEDGEMENT, CAPABILITY_CANCELLATION_NOTICE, CAPABILITY_GANGS,
+    CAPABILITY_GRANTS_AHEAD, CAPABILITY_STANDBY, LEADER_KEY, Replica, StoreKey,
 };
 
 impl Replica {
@@ -29,6 +29,12 @@
         self.last_supported(node, CAPABILITY_CANCELLATION_NOTICE)
     }
 
+    /// Whether a controller acknowledges cancellations and starts no tasks while its member key is
+    /// absent. The last known capabilities count, as for cancellation notices.
+    pub fn supports_cancellation_acknowledgements(&self, node: NodeId) -> bool {
+        self.last_supported(node, CAPABILITY_CANCELLATION_ACKNOWLEDGEMENT)
+    }
+
     /// Whether a controller can be asked how long the leader has been silent to it. The last known
     /// capabilities count, as for cancellation notices.
     pub fn supports_standby(&self, node: NodeId) -> bool {
--- a/src/replica/records.rs
+++ b/src/replica/records.rs
@@ -72,8 +72,11 @@
 pub const CAPABILITY_GRANTS_AHEAD: u32 = 3;
 /// Answering how long the leader has been silent, [`crate::peer::PeerRequest::LeaderSilence`].
 pub const CAPABILITY_STANDBY: u32 = 4;
+/// Acknowledging cancellations, [`crate::peer::PeerRequest::CancellationNotices`], and starting no
+/// tasks while the own member key is absent.
+pub const CAPABILITY_CANCELLATION_ACKNOWLEDGEMENT: u32 = 5;
 /// Capability level of this version.
-pub const CAPABILITIES: u32 = CAPABILITY_STANDBY;
+pub const CAPABILITIES: u32 = CAPABILITY_CANCELLATION_ACKNOWLEDGEMENT;
 
 /// Machine that may hold tasks.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/src/replica/tests.rs
+++ b/src/replica/tests.rs
@@ -72,7 +72,10 @@
     assert_eq!(end.end, Some(JobState::Done));
     assert!(job.with_completed([0], 2_048).is_none());
     replica.load(&item(progress_key(JobId(7)), wire::to_value(&end), 6), &mut replica_changes);
-    assert_eq!(replica.ended[&JobId(7)], EndedJob { state: JobState::Done, done: 2 });
+    assert_eq!(
+        replica.ended[&JobId(7)],
+        EndedJob { state: JobState::Done, done: 2, version: Revision(6) }
+    );
     // An ended job stays ended when older records are read later.
     replica.load(&item(progress_key(JobId(7)), wire::to_value(&done), 5), &mut replica_changes);
     replica.load(&item(job_key(JobId(7)), wire::to_value(&accepted), 4), &mut replica_changes);
--- a/src/service.rs
+++ b/src/service.rs
@@ -21,6 +21,7 @@
 use tokio::time::Instant;
 use tracing::info;
 
+use self::cancellations::CancellationQueue;
 use self::confirmations::ConfirmationQueue;
 use self::direct_commands::max_direct_commands;
 use self::peers::Peers;
@@ -35,7 +36,7 @@
 use crate::peer::PeerResponse;
 use crate::store_client::StoreClient;
 
-pub(crate) use cancellations::CancellationOutcome;
+pub(crate) use cancellations::{CancellationOutcome, EndedJobStatus};
 pub use confirmations::ConfirmError;
 pub(crate) use submissions::SubmissionOutcome;
 
@@ -130,6 +131,8 @@
     wake_ups: WakeUps,
     /// Callers waiting for a confirmation that the replica is current.
     confirmations: ConfirmationQueue,
+    /// Requests waiting for cancellations to become effective.
+    cancellations: CancellationQueue,
     /// Submissions waiting for the next group commit.
     submissions: SubmissionQueue,
     /// On the leader, the response to the last summary that each controller sent through the store,
@@ -157,6 +160,7 @@
         Service {
             node_id: controller.local_node,
             controller_count: controller.nodes.len(),
+            cancellations: CancellationQueue::new(controller.nodes.len()),
             peers: Peers::new(&controller.nodes),
             store: StoreClient::new(
                 settings.external.store,
@@ -246,6 +250,10 @@
         spawn_local(self.clone().write_submissions());
         // Confirms to waiting callers that the replica is current.
         spawn_local(self.clone().serve_confirmations());
+        // Sends cancellation notices to each of the other controllers.
+        for node in self.other_nodes() {
+            spawn_local(self.clone().send_cancellation_notices(node));
+        }
         // Logs operation counts and latencies.
         spawn_local(self.clone().log_measurements());
         // Requests the leader and its term from peers while the store does not serve this
--- a/src/service/cancellations.rs
+++ b/src/service/cancellations.rs
@@ -1,21 +1,44 @@
-//! Durable cancellations, and notices of them to other controllers.
+//! Durable cancellations, notices of them to other controllers, and waits until they are effective.
+//!
+//! A user is told that a job is cancelled once the cancellation is effective, see
+//! [`crate::controller::EndedAnswer`]. While all controllers reach each other, this takes one
+//! exchange of messages. Requests wait for it for a bounded time and in a bounded number; further
+//! requests are refused with `Retry-After`.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::sync::Notify;
 use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, timeout_at};
 
-use super::Service;
-use crate::model::{JobId, Revision};
-use crate::peer::PeerRequest;
+use super::{Service, public_server_limits};
+use crate::controller::EndedAnswer;
+use crate::model::{JobId, NodeId, Revision};
+use crate::peer::{Forwarding, PeerRequest, PeerResponse};
 use crate::replica;
 use crate::store_client::{StoreError, TxnOutcome};
+use crate::wire::JobAnswer;
 
 /// Time without a response from the store after which the same transaction is sent again. A user is
 /// waiting for its outcome.
 const HEDGE_DELAY: Duration = Duration::from_millis(150);
-/// Time limit for another controller's response to a cancellation notice. Notices are not repeated.
+/// Time limit for another controller's response to cancellation notices.
 const NOTICE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Pause after notices that were not acknowledged, before they are sent again.
+const NOTICE_RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Maximum time between two checks whether a cancellation is effective. Acknowledgements trigger a
+/// check at once.
+const EFFECT_CHECK_PERIOD: Duration = Duration::from_millis(50);
+/// Divisor of the maximum number of user connections: the share of them that may wait for
+/// cancellations to become effective.
+const WAITING_CONNECTIONS_DIVISOR: usize = 4;
+/// Upper bound on the number of requests that wait for cancellations to become effective.
+const MAX_WAITING_REQUESTS: usize = 64;
+/// Upper bound on the number of forwarded requests that wait. Each occupies one of the few
+/// connections between controllers.
+const MAX_WAITING_FORWARDED_REQUESTS: usize = 8;
 
 /// Outcome of a cancellation that the store responded to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,6 +51,63 @@
     Conflict,
 }
 
+/// What a user may be told about a job that has ended.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum EndedJobStatus {
+    /// The job's final state.
+    Final(JobAnswer),
+    /// The job is cancelled, but the cancellation did not become effective within the time limit.
+    NotEffective {
+        /// Seconds after which the cancellation is effective at the latest.
+        retry_after_s: u32,
+    },
+}
+
+/// Requests that wait until cancellations are effective, and the wake-ups of the loops that send
+/// notices.
+pub(super) struct CancellationQueue {
+    /// Number of waiting requests.
+    waiting: Cell<usize>,
+    /// Wakes the waiting requests: a controller acknowledged cancellations.
+    acknowledged: Notify,
+    /// Wakes [`Service::send_cancellation_notices`] for each controller, by index.
+    notices_due: Vec<Notify>,
+}
+
+impl CancellationQueue {
+    pub(super) fn new(controller_count: usize) -> Self {
+        CancellationQueue {
+            waiting: Cell::new(0),
+            acknowledged: Notify::new(),
+            notices_due: (0..controller_count).map(|_| Notify::new()).collect(),
+        }
+    }
+
+    fn wake_senders(&self) {
+        self.notices_due.iter().for_each(Notify::notify_one);
+    }
+}
+
+/// Guard that counts a waiting request until it is dropped.
+struct WaitingGuard<'a>(&'a Cell<usize>);
+
+impl<'a> WaitingGuard<'a> {
+    /// Counts a waiting request, unless `limit` requests wait already.
+    fn start(waiting: &'a Cell<usize>, limit: usize) -> Option<Self> {
+        if waiting.get() >= limit {
+            return None;
+        }
+        waiting.set(waiting.get() + 1);
+        Some(WaitingGuard(waiting))
+    }
+}
+
+impl Drop for WaitingGuard<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
 impl Service {
     /// Cancels a job durably.
     ///
@@ -43,27 +123,108 @@
         match self.store.commit_hedged(&txn, HEDGE_DELAY).await? {
             TxnOutcome::Committed(version) => {
                 self.apply_committed(&txn, version);
-                self.send_cancellation_notices(id, progress, version);
+                self.collect_acknowledgements(id);
+                self.notify_earlier_versions(id, progress, version);
                 Ok(CancellationOutcome::Cancelled)
             }
             TxnOutcome::ConditionsFailed(_) => Ok(CancellationOutcome::Conflict),
         }
     }
 
-    /// Notifies the other controllers of a cancellation. The store may refuse service to one of
-    /// them, which would otherwise start tasks of the job until its right to start tasks expires.
-    /// The response to the user does not wait for the notices.
-    fn send_cancellation_notices(
+    /// Returns what a user may be told about a job that has ended, after waiting up to `max_wait`
+    /// for a cancellation to become effective; `None` if the job is not known to have ended. The
+    /// wait is left out if too many requests wait already.
+    pub(crate) async fn ended_status(
+        &self,
+        id: JobId,
+        forwarding: Forwarding,
+        max_wait: Duration,
+    ) -> Option<EndedJobStatus> {
+        let deadline = Instant::now() + max_wait;
+        let mut guard = None;
+        loop {
+            // Created before the check, so that no acknowledgement after the check is missed.
+            let acknowledged = self.cancellations.acknowledged.notified();
+            let effective_within_ms = match self.ended_answer(id)? {
+                EndedAnswer::Final(answer) => return Some(EndedJobStatus::Final(answer)),
+                EndedAnswer::NotEffective { effective_within_ms } => effective_within_ms,
+            };
+            if guard.is_none() {
+                self.collect_acknowledgements(id);
+                let limit = self.max_waiting_requests(forwarding);
+                guard = WaitingGuard::start(&self.cancellations.waiting, limit);
+            }
+            if guard.is_none() || Instant::now() >= deadline {
+                let retry_after_s = effective_within_ms.div_ceil(1_000).max(1) as u32;
+                return Some(EndedJobStatus::NotEffective { retry_after_s });
+            }
+            let next_check = deadline.min(Instant::now() + EFFECT_CHECK_PERIOD);
+            let _ = timeout_at(next_check, acknowledged).await;
+        }
+    }
+
+    /// Returns the answer for an ended job; `None` if the job has not ended or is unknown.
+    pub(crate) fn ended_answer(&self, id: JobId) -> Option<EndedAnswer> {
+        self.controller.borrow().ended_answer(self.now(), id)
+    }
+
+    /// Returns the maximum number of requests that wait for cancellations to become effective. The
+    /// other user connections remain for requests that are answered at once.
+    fn max_waiting_requests(&self, forwarding: Forwarding) -> usize {
+        let limits = public_server_limits(self.settings.params.limits.sockets);
+        let max_waiting = (limits.max_user_connections / WAITING_CONNECTIONS_DIVISOR)
+            .clamp(1, MAX_WAITING_REQUESTS);
+        match forwarding {
+            Forwarding::Allowed => max_waiting,
+            Forwarding::Forbidden => max_waiting.min(MAX_WAITING_FORWARDED_REQUESTS),
+        }
+    }
+
+    /// Begins to collect the other controllers' acknowledgements of a cancellation.
+    fn collect_acknowledgements(&self, id: JobId) {
+        let now = self.now();
+        if self.controller.borrow_mut().collect_acknowledgements(now, id) {
+            self.cancellations.wake_senders();
+        }
+    }
+
+    /// Sends cancellation notices to one controller, and repeats them until they are acknowledged or
+    /// not needed any more. One message at a time carries all of them, so a controller that does not
+    /// respond costs one connection.
+    pub(super) async fn send_cancellation_notices(self: Rc<Self>, node: NodeId) {
+        let Some(due) = self.cancellations.notices_due.get(usize::from(node.0)) else { return };
+        loop {
+            let notices = self.controller.borrow_mut().unacknowledged_notices(self.now(), node);
+            if notices.is_empty() {
+                due.notified().await;
+                continue;
+            }
+            let request = PeerRequest::CancellationNotices(notices);
+            match self.call_peer(node, &request, NOTICE_TIMEOUT).await {
+                Ok(PeerResponse::CancellationsKnown(jobs)) if !jobs.is_empty() => {
+                    self.controller.borrow_mut().record_acknowledgements(node, &jobs);
+                    self.cancellations.acknowledged.notify_waiters();
+                }
+                _ => sleep(NOTICE_RETRY_PAUSE).await,
+            }
+        }
+    }
+
+    /// Notifies controllers of versions that do not acknowledge cancellations. They apply the notice,
+    /// but the response does not prove it.
+    fn notify_earlier_versions(
         self: &Rc<Self>,
         id: JobId,
         progress: replica::Progress,
         version: Revision,
     ) {
         let request = Rc::new(PeerRequest::JobCancelled(id, progress, version));
-        for node in self
-            .other_nodes()
-            .filter(|node| self.controller.borrow().replica.supports_cancellation_notices(*node))
-        {
+        let is_earlier_version = |node: &NodeId| {
+            let replica = &self.controller.borrow().replica;
+            replica.supports_cancellation_notices(*node)
+                && !replica.supports_cancellation_acknowledgements(*node)
+        };
+        for node in self.other_nodes().filter(is_earlier_version) {
             let (service, request) = (self.clone(), request.clone());
             spawn_local(async move { service.call_peer(node, &request, NOTICE_TIMEOUT).await });
         }
--- a/src/service/peers.rs
+++ b/src/service/peers.rs
@@ -8,10 +8,11 @@
 use tracing::warn;
 
 use super::{STATUS_PATH, Service};
+use crate::api::RequestLimits;
 use crate::config::NodeInfo;
 use crate::http::{CallError, Client, Response};
 use crate::model::{JobId, MonotonicTime, NodeId, Revision};
-use crate::peer::{self, Forwarding, PeerRequest, PeerResponse};
+use crate::peer::{self, CancellationNotice, PeerRequest, PeerResponse};
 use crate::replica::Progress;
 
 /// Minimum time in milliseconds between two warnings about unreadable messages. During an upgrade,
@@ -164,17 +165,20 @@
                 PeerResponse::Leader(self.controller.borrow().leader_for_peer(self.now()))
             }
             PeerRequest::Submit(spec) => {
-                forwarded_response(self.submit(spec, Forwarding::Forbidden).await)
+                forwarded_response(self.submit(spec, RequestLimits::for_forwarded()).await)
             }
             PeerRequest::Query(job) => {
-                forwarded_response(self.query(job, Forwarding::Forbidden).await)
+                forwarded_response(self.query(job, RequestLimits::for_forwarded()).await)
             }
             PeerRequest::Cancel(job) => {
-                forwarded_response(self.abort(job, Forwarding::Forbidden).await)
+                forwarded_response(self.abort(job, RequestLimits::for_forwarded()).await)
             }
             PeerRequest::JobCancelled(job, progress, version) => {
                 self.receive_cancellation(job, &progress, version)
             }
+            PeerRequest::CancellationNotices(notices) => {
+                self.receive_cancellation_notices(&notices)
+            }
         }
     }
 
@@ -190,4 +194,13 @@
         self.on_replica_changes(&replica_changes);
         PeerResponse::StoreReachable(self.controller.borrow().store_ok)
     }
+
+    /// Applies another controller's notices of durable cancellations, and acknowledges those that
+    /// this controller knows from now on.
+    fn receive_cancellation_notices(&self, notices: &[CancellationNotice]) -> PeerResponse {
+        let (replica_changes, known) =
+            self.controller.borrow_mut().apply_cancellation_notices(notices);
+        self.on_replica_changes(&replica_changes);
+        PeerResponse::CancellationsKnown(known)
+    }
 }
--- a/tests/sim/check.rs
+++ b/tests/sim/check.rs
@@ -19,6 +19,12 @@
     },
     /// A task no longer occupies resources on a machine, whether it completed or not.
     TaskStopped { task: Task, machine: usize },
+    /// A controller commanded the start of a task in the response to a heartbeat.
+    StartCommanded {
+        task: Task,
+        /// When the worker sent the heartbeat.
+        heartbeat_sent_at: u64,
+    },
     /// A user was shown that a job is cancelled.
     JobCancelled { job: u64 },
     /// A user was shown that a job is done.
@@ -164,6 +170,15 @@
                 self.startable_since.remove(&task.0);
                 self.check_cancellation(at, task);
             }
+            Event::StartCommanded { task, heartbeat_sent_at } => {
+                let shown_at = self.cancelled_at.get(&task.0).copied();
+                if let Some(shown_at) = shown_at.filter(|shown_at| heartbeat_sent_at > *shown_at) {
+                    self.violations.push(format!(
+                        "{at}: start of {task:?} commanded in the response to a heartbeat of {heartbeat_sent_at}, \
+                         its job was shown as cancelled at {shown_at}"
+                    ));
+                }
+            }
             Event::TaskStopped { task, machine } => {
                 let Some(machines) = self.machines_by_task.get_mut(&task) else { return };
                 let removed = machines.remove(&machine);
--- a/tests/sim/histories.rs
+++ b/tests/sim/histories.rs
@@ -55,6 +55,23 @@
             vec![(0, start((1, 0), 0)), (5, Event::JobCancelled { job: 1 }), (31_000, Event::Tick)],
             1,
         ),
+        (
+            "start commanded after the cancellation was shown",
+            vec![
+                (5, Event::JobCancelled { job: 1 }),
+                (9, Event::StartCommanded { task: (1, 0), heartbeat_sent_at: 6 }),
+            ],
+            1,
+        ),
+        (
+            "start commanded in the response to a heartbeat from before the cancellation was shown",
+            vec![
+                (5, Event::JobCancelled { job: 1 }),
+                (9, Event::StartCommanded { task: (1, 0), heartbeat_sent_at: 5 }),
+                (9, Event::StartCommanded { task: (2, 0), heartbeat_sent_at: 6 }),
+            ],
+            0,
+        ),
         (
             "bound to one zone and started in two",
             vec![(0, start_in_zone((1, 0), 0, "a")), (1, start_in_zone((1, 1), 1, "b"))],
--- a/tests/sim/load.rs
+++ b/tests/sim/load.rs
@@ -12,6 +12,8 @@
     faults.sort_by_key(|f| f.0);
     let mut world = World::many_small_jobs(1, 720);
     world.run(&faults, 300_000);
+    // The controller that reports the end of the last job may know of it before the others.
+    world.run_on(1_000);
     assert!(world.checker.violations.is_empty(), "{:?}", world.checker.violations);
     assert!(world.unfinished().is_empty(), "{:?}", world.unfinished());
     for n in 0..3 {
--- a/tests/sim/main.rs
+++ b/tests/sim/main.rs
@@ -3,6 +3,7 @@
 //! step.
 
 mod cancellation;
+mod cancelled_starts;
 mod check;
 mod failover;
 mod faults;
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -16,10 +16,12 @@
 use willowshore::model::{
     Attempt, ClockReading, Incarnation, JobId, MonotonicTime, NodeId, TaskId, Term, WallTime,
 };
-use willowshore::peer::{self, PeerRequest, PeerResponse, Summary};
+use willowshore::peer::{self, CancellationNotice, PeerResponse, Summary};
 use willowshore::shard::{DirectMessage, HeartbeatOutcome};
 use willowshore::store_client::TxnOutcome;
-use willowshore::wire::{Heartbeat, JobKind, JobSpec, Priority, TaskState, Txn, WorkerCommand};
+use willowshore::wire::{
+    Heartbeat, HeartbeatResponse, JobKind, JobSpec, Priority, TaskState, Txn, WorkerCommand,
+};
 use willowshore_standby::failover::{FailoverCommand, PeerObservation, ProbeOutcome};
 use willowshore_standby::settings::StandbySettings;
 use willowshore_standby::status::VerificationCounts;
@@ -55,6 +57,8 @@
 const BOOT_MS: u64 = 12_000;
 /// Time for which a controller that suspects the leader waits for the response to its probe.
 const PROBE_TIMEOUT_MS: u64 = 700;
+/// Time between two messages with cancellation notices to a controller that does not acknowledge them.
+const NOTICE_INTERVAL_MS: u64 = 200;
 /// Cores that the team may use, unless a scenario sets another limit.
 const TEAM_LIMIT_CORES: u64 = 32;
 /// Cores of each task.
@@ -72,6 +76,8 @@
     started_at: u64,
     /// When the lease, the replica, the summary and the epoch are next handled.
     next_due: [u64; 4],
+    /// Earliest time of the next cancellation notices to each controller.
+    next_notices_at: [u64; 3],
     /// Earliest time of the next summary through the store.
     next_store_message_at: u64,
     /// When the process is resumed; `None` if it is not suspended.
@@ -354,6 +360,14 @@
         }
     }
 
+    /// Runs for `ms` milliseconds without further faults, also if all jobs have ended.
+    pub fn run_on(&mut self, ms: u64) {
+        for _ in 0..ms / STEP_MS {
+            self.now += STEP_MS;
+            self.step();
+        }
+    }
+
     /// Returns the keys of values that the store refused for their size, and `a transaction` for each
     /// transaction with too many changes or conditions.
     pub fn too_large(&self) -> &[String] {
@@ -488,7 +502,7 @@
                 {
                     continue;
                 }
-                let message = Message::Heartbeat(w, node, heartbeat);
+                let message = Message::Heartbeat(w, node, heartbeat, now);
                 self.send(Endpoint::Worker(w), Endpoint::Node(node), message);
             }
         }
--- a/tests/sim/world/controllers.rs
+++ b/tests/sim/world/controllers.rs
@@ -53,6 +53,7 @@
                 controller,
                 started_at: now,
                 next_due: [now; 4],
+                next_notices_at: [now; 3],
                 next_store_message_at: 0,
                 frozen_until: None,
                 held_messages: Vec::new(),
@@ -70,6 +71,7 @@
         self.tick_failover(n);
         self.run_epoch(n);
         self.send_direct_messages(n);
+        self.send_cancellation_notices(n);
     }
 
     /// Returns whether the process of controller `n` stays suspended, and resumes the process when its suspension
@@ -108,6 +110,27 @@
         false
     }
 
+    /// Sends the other controllers the cancellation notices that they have not acknowledged.
+    fn send_cancellation_notices(&mut self, n: usize) {
+        let now = self.now;
+        if !self.sends_cancellation_notices {
+            return;
+        }
+        for to in (0..3).filter(|to| *to != n) {
+            let Ok(node) = &mut self.nodes[n] else { return };
+            if now < node.next_notices_at[to] {
+                continue;
+            }
+            let monotonic = node.clock_reading(now).monotonic;
+            let notices = node.controller.unacknowledged_notices(monotonic, NodeId(to as u8));
+            if !notices.is_empty() {
+                node.next_notices_at[to] = now + NOTICE_INTERVAL_MS;
+                let message = Message::CancellationNotices(n, to, notices);
+                self.send(Endpoint::Node(n), Endpoint::Node(to), message);
+            }
+        }
+    }
+
     /// Sends the direct commands that are due.
     pub(super) fn send_direct_messages(&mut self, n: usize) {
         let now = self.now;
--- a/tests/sim/world/faults.rs
+++ b/tests/sim/world/faults.rs
@@ -83,6 +83,8 @@
     /// The leader and all machines but two are partitioned from the store and the other controllers, not from
     /// each other.
     LeaderStrandedWithMachines(u64),
+    /// A controller that does not lead reaches only its workers and users.
+    FollowerOnlyReachesWorkers(u64),
     /// Controllers do not reach each other.
     PeersRefuseConnections(u64),
     /// The given number of machines, those with the lowest indexes, hang at the same time.
@@ -130,6 +132,7 @@
             | Fault::UnansweredWorker(_, ms)
             | Fault::LeaderOnlyReachesWorkers(ms)
             | Fault::LeaderStrandedWithMachines(ms)
+            | Fault::FollowerOnlyReachesWorkers(ms)
             | Fault::WorkersHang(_, ms)
             | Fault::SpotReclaimed(_, ms)
             | Fault::WorkerReachesNoController(_, ms)
@@ -183,6 +186,7 @@
             Fault::LateCopies(t) => Fault::LateCopies(t * factor),
             Fault::LeaderOnlyReachesWorkers(t) => Fault::LeaderOnlyReachesWorkers(t * factor),
             Fault::LeaderStrandedWithMachines(t) => Fault::LeaderStrandedWithMachines(t * factor),
+            Fault::FollowerOnlyReachesWorkers(t) => Fault::FollowerOnlyReachesWorkers(t * factor),
             Fault::PeersRefuseConnections(t) => Fault::PeersRefuseConnections(t * factor),
             Fault::WorkersHang(n, t) => Fault::WorkersHang(n, t * factor),
             Fault::SpotReclaimed(w, t) => Fault::SpotReclaimed(w, t * factor),
@@ -255,6 +259,14 @@
         self.nodes[node] = Err(self.now + restart_ms);
     }
 
+    /// Partitions a controller from the store and the other controllers, not from workers and users.
+    pub(super) fn isolate_controller(&mut self, node: usize, ms: u64) {
+        let mut rest: BTreeSet<Endpoint> =
+            (0..3).filter(|n| *n != node).map(Endpoint::Node).collect();
+        rest.insert(Endpoint::Store);
+        self.partition([Endpoint::Node(node)].into(), rest, ms, false);
+    }
+
     /// Injects a fault now. Faults that end a leader's term begin a new failover trace.
     pub(super) fn inject(&mut self, fault: Fault) {
         let now = self.now;
@@ -328,12 +340,9 @@
                 let changes = self.workers[w].restart(now);
                 self.record_worker_changes(w, changes);
             }
-            Fault::LeaderOnlyReachesWorkers(ms) => {
-                let node = self.leader();
-                let mut rest: BTreeSet<Endpoint> =
-                    (0..3).filter(|n| *n != node).map(Endpoint::Node).collect();
-                rest.insert(Endpoint::Store);
-                self.partition([Endpoint::Node(node)].into(), rest, ms, false);
+            Fault::LeaderOnlyReachesWorkers(ms) => self.isolate_controller(self.leader(), ms),
+            Fault::FollowerOnlyReachesWorkers(ms) => {
+                self.isolate_controller((self.leader() + 1) % 3, ms);
             }
             Fault::LeaderStrandedWithMachines(ms) => {
                 let node = self.leader();
--- a/tests/sim/world/in_flight.rs
+++ b/tests/sim/world/in_flight.rs
@@ -48,9 +48,7 @@
             grant.tasks.iter().any(|index| !held(TaskId { job, index }))
         });
         let Some(job) = unstarted.map(|grant| grant.job) else { return };
-        let mut rest: BTreeSet<Endpoint> = (0..3).filter(|m| *m != n).map(Endpoint::Node).collect();
-        rest.insert(Endpoint::Store);
-        self.partition([Endpoint::Node(n)].into(), rest, SHARD_PARTITION_MS, false);
+        self.isolate_controller(n, SHARD_PARTITION_MS);
         self.schedule_cancellations(job);
     }
 
--- a/tests/sim/world/messages.rs
+++ b/tests/sim/world/messages.rs
@@ -15,8 +15,8 @@
 
 /// A message in transit. Values of type `usize` are indexes of controllers and workers.
 pub(super) enum Message {
-    /// A heartbeat of the worker given first to the controller given second.
-    Heartbeat(usize, usize, Heartbeat),
+    /// A heartbeat of the worker given first to the controller given second, and the time of sending.
+    Heartbeat(usize, usize, Heartbeat, u64),
     /// A late copy of a heartbeat to a controller. Its response is discarded.
     HeartbeatCopy(usize, Heartbeat),
     /// The response for a worker to its heartbeat with this sequence.
@@ -31,8 +31,10 @@
     /// The leader's response to a controller's summary. For a direct summary with the time when the summary was
     /// sent, by the clock of the controller.
     PeerResponse(usize, PeerResponse, Option<MonotonicTime>),
-    /// A cancellation notice to a controller from another one.
-    CancellationNotice(usize, PeerRequest),
+    /// Cancellation notices of the controller given first to the controller given second.
+    CancellationNotices(usize, usize, Vec<CancellationNotice>),
+    /// Acknowledged cancellations, to the controller given first from the controller given second.
+    CancellationsKnown(usize, usize, Vec<JobId>),
     /// The outcome of a controller's probe of the leader.
     Probed(usize, ProbeOutcome),
 }
@@ -41,12 +43,13 @@
     /// Returns the receiving controller; `None` if a worker receives the message.
     pub(super) fn to_node(&self) -> Option<usize> {
         match self {
-            Message::Heartbeat(_, n, _)
+            Message::Heartbeat(_, n, ..)
             | Message::HeartbeatCopy(n, _)
             | Message::DirectResponse(n, ..)
             | Message::Summary(_, n, ..)
             | Message::PeerResponse(n, ..)
-            | Message::CancellationNotice(n, _)
+            | Message::CancellationNotices(_, n, _)
+            | Message::CancellationsKnown(n, ..)
             | Message::Probed(n, _) => Some(*n),
             Message::HeartbeatResponse(..) | Message::DirectCommands(..) => None,
         }
@@ -63,6 +66,21 @@
     }
 }
 
+/// Reports the starts in the response to a heartbeat, which was sent at `heartbeat_sent_at`, to the checker.
+fn record_commanded_starts(
+    checker: &mut Checker,
+    now: u64,
+    response: &HeartbeatResponse,
+    heartbeat_sent_at: u64,
+) {
+    for command in &response.commands {
+        if let WorkerCommand::Start { task, .. } = command {
+            let task = (task.job.0, task.index);
+            checker.record(now, Event::StartCommanded { task, heartbeat_sent_at });
+        }
+    }
+}
+
 impl World {
     /// Returns when a packet sent now arrives; `None` if it is lost.
     pub(super) fn arrival(&mut self, from: Endpoint, to: Endpoint) -> Option<u64> {
@@ -99,13 +117,16 @@
             return;
         }
         match message {
-            Message::Heartbeat(w, n, heartbeat) => {
+            Message::Heartbeat(w, n, heartbeat, sent) => {
                 let Ok(node) = &mut self.nodes[n] else { return };
                 let monotonic = node.clock_reading(now).monotonic;
                 let started = Instant::now();
                 let answer = node.controller.on_heartbeat(monotonic, &heartbeat);
                 self.heartbeats.count += 1;
                 self.heartbeats.total += started.elapsed();
+                if let HeartbeatOutcome::Respond(response) = &answer {
+                    record_commanded_starts(&mut self.checker, now, response, sent);
+                }
                 let answer = match answer {
                     HeartbeatOutcome::Respond(response) => Answer::Accepted(response),
                     HeartbeatOutcome::Redirect(name) => Answer::Redirected(
@@ -203,16 +224,20 @@
                     Message::PeerResponse(from, response, Some(sent)),
                 );
             }
-            Message::CancellationNotice(to, request) => {
-                let (Ok(node), PeerRequest::JobCancelled(job, progress, version)) =
-                    (&mut self.nodes[to], request)
-                else {
-                    return;
-                };
+            Message::CancellationNotices(from, to, notices) => {
+                let Ok(node) = &mut self.nodes[to] else { return };
                 let clock = node.clock_reading(now);
-                let replica_changes =
-                    node.controller.apply_cancellation_notice(job, &progress, version);
+                let (replica_changes, known) = node.controller.apply_cancellation_notices(&notices);
                 node.controller.on_replica_changes(clock, &replica_changes);
+                self.send(
+                    Endpoint::Node(to),
+                    Endpoint::Node(from),
+                    Message::CancellationsKnown(from, to, known),
+                );
+            }
+            Message::CancellationsKnown(to, from, jobs) => {
+                let Ok(node) = &mut self.nodes[to] else { return };
+                node.controller.record_acknowledgements(NodeId(from as u8), &jobs);
             }
             Message::Probed(n, outcome) => {
                 let Ok(node) = &mut self.nodes[n] else { return };
--- a/tests/sim/world/users.rs
+++ b/tests/sim/world/users.rs
@@ -2,17 +2,17 @@
 //!
 //! A controller answers as the service does. It answers at once for a job whose state is final. Otherwise, it answers
 //! with state read from the store after the request arrived. If it cannot, it forwards the request to another
-//! controller, and refuses if none answers.
+//! controller, and refuses if none answers. It also refuses while a cancellation is not effective; a service waits for
+//! a short time instead, after which it refuses, too.
 
 use rand::Rng;
 use willowshore::controller::submission_txn;
 use willowshore::model::{JobId, TaskId, WallTime};
-use willowshore::peer::PeerRequest;
-use willowshore::replica::{self, EndedJob};
+use willowshore::replica;
 use willowshore::store_client::TxnOutcome;
 use willowshore::wire::{JobKind, JobState};
 
-use super::{Message, World};
+use super::World;
 use crate::check::{Event, ShownState};
 
 /// Id of a job that no user submits.
@@ -27,6 +27,15 @@
     }
 }
 
+/// A controller's reply to a request that it serves.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Reply {
+    /// The job's state.
+    State(ShownState),
+    /// The job is cancelled and the cancellation is not effective yet. The user repeats the request later.
+    NotEffective,
+}
+
 impl World {
     /// Lets users submit, query and cancel jobs at random controllers, every 500 ms. Once all faults are over,
     /// also checks that each controller knows the accepted jobs.
@@ -90,16 +99,14 @@
     pub(super) fn submit_or_query(&mut self, n: usize, id: u64) {
         let now = self.now;
         let Some(node) = self.running_node(n) else { return };
-        let replica = &node.controller.replica;
-        if let Some(EndedJob { state, .. }) = replica.ended.get(&JobId(id)).copied() {
+        if node.controller.replica.ended.contains_key(&JobId(id)) {
+            let Some(Reply::State(state)) = self.ended_reply(n, JobId(id)) else { return };
             let of = self.jobs[&id].task_count;
             let done = self.completed.iter().filter(|t| t.job.0 == id).count() as u32;
             self.ended_for_users.insert(id);
-            let (event, state) = match state {
-                JobState::Done => {
-                    (Event::JobDone { job: id, completed: done, task_count: of }, ShownState::Done)
-                }
-                _ => (Event::JobCancelled { job: id }, ShownState::Cancelled),
+            let event = match state {
+                ShownState::Done => Event::JobDone { job: id, completed: done, task_count: of },
+                _ => Event::JobCancelled { job: id },
             };
             self.checker.record(now, event);
             self.checker.record(now, Event::JobStateShown { job: id, node: n, state });
@@ -127,41 +134,58 @@
         }
     }
 
-    /// Returns what controller `n` answers without reading the store: a final state, or a refusal
-    /// (`Some(None)`) if it does not run or does not reach the store. `None` if it has to read the store first.
-    fn immediate_answer(&mut self, n: usize, job: JobId) -> Option<Option<ShownState>> {
-        let Some(node) = self.running_node(n) else { return Some(None) };
-        if let Some(answer) = node.controller.final_answer(job) {
-            return Some(Some(shown_state(answer.state)));
+    /// Returns the reply of controller `n` for an ended job; `None` if it does not know that the job has ended. If the
+    /// job was cancelled and the cancellation is not effective yet, the controller asks the others to acknowledge it.
+    fn ended_reply(&mut self, n: usize, job: JobId) -> Option<Reply> {
+        let now = self.now;
+        let Ok(node) = &mut self.nodes[n] else { return None };
+        let monotonic = node.clock_reading(now).monotonic;
+        node.controller.collect_acknowledgements(monotonic, job);
+        let answer = node.controller.ended_answer(monotonic, job)?.into_final();
+        Some(answer.map_or(Reply::NotEffective, |answer| Reply::State(shown_state(answer.state))))
+    }
+
+    /// Returns the reply of controller `n` without reading the store: that of an ended job, or a refusal
+    /// (`Some(None)`) if the controller does not run or does not reach the store. `None` if it has to read the store
+    /// first.
+    fn immediate_reply(&mut self, n: usize, job: JobId) -> Option<Option<Reply>> {
+        if self.running_node(n).is_none() {
+            return Some(None);
+        }
+        if let Some(reply) = self.ended_reply(n, job) {
+            return Some(Some(reply));
         }
+        let node = self.running_node(n)?;
         if !node.controller.loaded || !self.reaches_store(n) {
             return Some(None);
         }
         None
     }
 
-    /// Returns the state of a job that controller `n` reports; `None` if it refuses.
-    fn query(&mut self, n: usize, id: u64) -> Option<ShownState> {
+    /// Queries a job at controller `n`. Returns its reply; `None` if it refuses.
+    fn query(&mut self, n: usize, id: u64) -> Option<Reply> {
         let job = JobId(id);
-        if let Some(answer) = self.immediate_answer(n, job) {
-            return answer;
+        if let Some(reply) = self.immediate_reply(n, job) {
+            return reply;
         }
         self.sync_replica(n);
-        let controller = &self.running_node(n)?.controller;
-        let answer = controller.final_answer(job).or_else(|| controller.open_answer(job));
-        match answer {
-            Some(answer) => Some(shown_state(answer.state)),
+        self.running_node(n)?;
+        if let Some(reply) = self.ended_reply(n, job) {
+            return Some(reply);
+        }
+        match self.running_node(n)?.controller.open_answer(job) {
+            Some(answer) => Some(Reply::State(shown_state(answer.state))),
             None if self.store.has_key(&replica::job_key(job)) => None,
-            None => Some(ShownState::Unknown),
+            None => Some(Reply::State(ShownState::Unknown)),
         }
     }
 
-    /// Submits a job at controller `n`, possibly again. Returns the reported state; `None` if the controller refuses.
-    fn submit(&mut self, n: usize, id: u64) -> Option<ShownState> {
+    /// Submits a job at controller `n`, possibly again. Returns its reply; `None` if it refuses.
+    fn submit(&mut self, n: usize, id: u64) -> Option<Reply> {
         let job = JobId(id);
         self.checker.record(self.now, Event::JobSubmitted { job: id });
-        if let Some(answer) = self.immediate_answer(n, job) {
-            return answer;
+        if let Some(reply) = self.immediate_reply(n, job) {
+            return reply;
         }
         let node = self.nodes[n].as_ref().ok()?;
         if !node.controller.replica.jobs.contains_key(&job) {
@@ -179,27 +203,27 @@
                     let controller = &mut self.nodes[n].as_mut().ok()?.controller;
                     let replica_changes = controller.apply_committed(&txn, version);
                     controller.on_replica_changes(clock, &replica_changes);
-                    let answer = controller.final_answer(job);
-                    return Some(answer.map_or(ShownState::Open, |a| shown_state(a.state)));
+                    let reply = self.ended_reply(n, job);
+                    return Some(reply.unwrap_or(Reply::State(ShownState::Open)));
                 }
                 TxnOutcome::ConditionsFailed(_) => {}
             }
         }
-        self.query(n, id).filter(|t| *t != ShownState::Unknown)
+        self.query(n, id).filter(|reply| *reply != Reply::State(ShownState::Unknown))
     }
 
-    /// Cancels a job at controller `n`, which notifies the other controllers. Returns the reported state;
-    /// `None` if the controller refuses.
-    fn abort(&mut self, n: usize, id: u64) -> Option<ShownState> {
+    /// Cancels a job at controller `n`. Returns its reply; `None` if it refuses.
+    fn abort(&mut self, n: usize, id: u64) -> Option<Reply> {
         let job = JobId(id);
         for _ in 0..4 {
-            if let Some(answer) = self.immediate_answer(n, job) {
-                return answer;
+            if let Some(reply) = self.immediate_reply(n, job) {
+                return reply;
             }
-            let Some((txn, progress)) = self.nodes[n].as_ref().ok()?.controller.cancel_txn(job)
-            else {
+            let Some((txn, _)) = self.nodes[n].as_ref().ok()?.controller.cancel_txn(job) else {
                 match self.query(n, id)? {
-                    ShownState::Unknown => return Some(ShownState::Unknown),
+                    Reply::State(ShownState::Unknown) => {
+                        return Some(Reply::State(ShownState::Unknown));
+                    }
                     _ => continue,
                 }
             };
@@ -209,17 +233,6 @@
                     let controller = &mut self.nodes[n].as_mut().ok()?.controller;
                     let replica_changes = controller.apply_committed(&txn, version);
                     controller.on_replica_changes(clock, &replica_changes);
-                    for to in (0..3).filter(|m| *m != n) {
-                        if self.old_version[to] || !self.sends_cancellation_notices {
-                            continue;
-                        }
-                        let request = PeerRequest::JobCancelled(job, progress.clone(), version);
-                        self.send(
-                            super::Endpoint::Node(n),
-                            super::Endpoint::Node(to),
-                            Message::CancellationNotice(to, request),
-                        );
-                    }
                 }
                 TxnOutcome::ConditionsFailed(_) => self.sync_replica(n),
             }
@@ -233,19 +246,19 @@
         &mut self,
         n: usize,
         id: u64,
-        operation: fn(&mut World, usize, u64) -> Option<ShownState>,
+        operation: fn(&mut World, usize, u64) -> Option<Reply>,
     ) {
-        let mut answer = operation(self, n, id);
-        if answer.is_none() && self.nodes[n].is_ok() {
+        let mut reply = operation(self, n, id);
+        if reply.is_none() && self.nodes[n].is_ok() {
             for m in (0..3).filter(|m| *m != n) {
                 let (from, to) = (super::Endpoint::Node(n), super::Endpoint::Node(m));
                 let reached = self.arrival(from, to).is_some_and(|at| at < self.now + 100);
-                if reached && answer.is_none() {
-                    answer = operation(self, m, id);
+                if reached && reply.is_none() {
+                    reply = operation(self, m, id);
                 }
             }
         }
-        let Some(answer) = answer else { return };
+        let Some(Reply::State(answer)) = reply else { return };
         if answer == ShownState::Done {
             let of = self.jobs[&id].task_count;
             let done = self.completed.iter().filter(|t| t.job.0 == id).count() as u32;
--- a/tests/upgrade/main.rs
+++ b/tests/upgrade/main.rs
@@ -11,8 +11,9 @@
 };
 use willowshore::offered_load::OfferedLoad;
 use willowshore::peer::{
-    self, ForeignMachine, GangStop, Grant, JobStatus, MachineView, OwnershipChanges, PeerRequest,
-    PeerResponse, Plan, PlanBody, StoreMessage, Summary, TaskView, WaitReason,
+    self, CancellationNotice, ForeignMachine, GangStop, Grant, JobStatus, MachineView,
+    OwnershipChanges, PeerRequest, PeerResponse, Plan, PlanBody, StoreMessage, Summary, TaskView,
+    WaitReason,
 };
 use willowshore::replica::{
     Accepted, CAPABILITIES, EpochRecord, LeaderRecord, MachineGroup, MachineRecord, MemberRecord,
@@ -354,3 +355,26 @@
         "version 0.1 must refuse the unknown request"
     );
 }
+
+#[test]
+fn only_versions_that_support_them_are_asked_to_acknowledge_cancellations() {
+    // (capabilities of a member, whether it is asked to acknowledge cancellations)
+    for (capabilities, asked) in [(0, false), (4, false), (5, true)] {
+        let mut replica = Replica::new(NodeId(0));
+        let member =
+            MemberRecord { incarnation: Incarnation(77), version: String::new(), capabilities };
+        let item =
+            KeyValue { key: "n/1".into(), value: wire::to_value(&member), version: Revision(3) };
+        replica.load(&item, &mut ReplicaChanges::default());
+        let got = replica.supports_cancellation_acknowledgements(NodeId(1));
+        assert_eq!(got, asked, "{capabilities}");
+    }
+    let notice = CancellationNotice { job: JobId(412), done: 3, version: Revision(9) };
+    let sent = peer::encode(&PeerRequest::CancellationNotices(vec![notice]));
+    let read = peer::decode::<PeerRequest>(&sent);
+    assert!(matches!(read, Ok(PeerRequest::CancellationNotices(n)) if n == [notice]));
+    assert!(
+        rmp_serde::from_slice::<frozen::Ask>(&sent).is_err(),
+        "version 0.1 must refuse the unknown request"
+    );
+}
