Loopback test of cancellations while a controller is cut

The simulation has loops of its own around the controllers, so the service's waits, notices and refusals ran in no test of ours.

Links between the processes that a test can cut, with packets held, and a test with real processes: 24 jobs have just been granted when a controller that does not lead loses the store and the other controllers, and their users cancel them through the third one. No start may be commanded in the response to a heartbeat that was sent after a user was told; each user is answered within the 5 s that users wait, and a submission is accepted meanwhile.

--- a/tests/loopback/controllers.rs
+++ b/tests/loopback/controllers.rs
@@ -12,6 +12,7 @@
 use willowshore::service::STATUS_PATH;
 use willowshore_standby::status::{Role, Status};
 
+use crate::links::Link;
 use crate::site::{WorkerTiming, ZONES};
 
 /// Number of controllers in a site.
@@ -30,6 +31,25 @@
     start_count: usize,
 }
 
+/// How the controllers of a site are run.
+#[derive(Clone, Copy, Default)]
+pub struct Options {
+    /// Whether the warm standby is enabled.
+    pub standby: bool,
+    /// Whether the controllers reach the store and each other over links that a test can cut.
+    pub links: bool,
+}
+
+/// Addresses that a controller's settings name.
+struct Addresses {
+    api: SocketAddr,
+    peer: SocketAddr,
+    /// Addresses for other controllers, by controller. The controller's own one is not used.
+    others: Vec<SocketAddr>,
+    store: SocketAddr,
+    cloud: SocketAddr,
+}
+
 /// All controllers of a site. Dropping the value kills their processes, and removes the directory unless the test
 /// panicked.
 pub struct Controllers {
@@ -38,6 +58,8 @@
     /// Whether the warm standby is enabled.
     standby: bool,
     controllers: Vec<Controller>,
+    /// Links to the store and to the other controllers, each with the two processes that it connects.
+    links: Vec<(usize, Option<usize>, Link)>,
 }
 
 /// Returns addresses with ports that are free now, so that settings can name them before the controllers listen.
@@ -55,15 +77,30 @@
         team_limit: u64,
         store: SocketAddr,
         cloud: SocketAddr,
-        standby: bool,
+        options: Options,
     ) -> Self {
         let dir = std::env::temp_dir().join(format!("willowshore-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("can create the directory");
         let addresses = free_addresses(2 * CONTROLLER_COUNT);
         let (api_addrs, peer_addrs) = addresses.split_at(CONTROLLER_COUNT);
-        let mut controllers = Controllers { dir, standby, controllers: Vec::new() };
+        let mut controllers = Controllers {
+            dir,
+            standby: options.standby,
+            controllers: Vec::new(),
+            links: Vec::new(),
+        };
         for node in 0..CONTROLLER_COUNT {
-            let text = settings_for(node, timing, team_limit, store, cloud, api_addrs, peer_addrs);
+            let mut addresses = Addresses {
+                api: api_addrs[node],
+                peer: peer_addrs[node],
+                others: peer_addrs.to_vec(),
+                store,
+                cloud,
+            };
+            if options.links {
+                controllers.open_links(node, &mut addresses).await;
+            }
+            let text = settings_for(node, timing, team_limit, &addresses);
             let settings = controllers.dir.join(format!("host-{node}.toml"));
             std::fs::write(&settings, text).expect("can write the settings");
             let process = controllers.spawn(&settings, node, 0);
@@ -82,6 +119,27 @@
         controllers
     }
 
+    /// Opens links from controller `node` to the store and to the other controllers, and lets `addresses` name them.
+    async fn open_links(&mut self, node: usize, addresses: &mut Addresses) {
+        let link = Link::open(addresses.store).await;
+        addresses.store = link.addr;
+        self.links.push((node, None, link));
+        for other in (0..CONTROLLER_COUNT).filter(|other| *other != node) {
+            let link = Link::open(addresses.others[other]).await;
+            addresses.others[other] = link.addr;
+            self.links.push((node, Some(other), link));
+        }
+    }
+
+    /// Cuts a controller from the store and the other controllers, not from workers and users, or ends the cut.
+    pub fn set_cut(&self, node: usize, is_cut: bool) {
+        for (from, to, link) in &self.links {
+            if *from == node || *to == Some(node) {
+                link.set_cut(is_cut);
+            }
+        }
+    }
+
     fn spawn(&self, settings: &PathBuf, node: usize, start_count: usize) -> Child {
         let log = File::create(self.dir.join(format!("host-{node}-{start_count}.log")))
             .expect("can create the log");
@@ -198,25 +256,21 @@
     node: usize,
     timing: WorkerTiming,
     team_limit: u64,
-    store: SocketAddr,
-    cloud: SocketAddr,
-    api_addrs: &[SocketAddr],
-    peer_addrs: &[SocketAddr],
+    addresses: &Addresses,
 ) -> String {
     let site_settings = timing.settings(team_limit);
     let params =
         &site_settings[site_settings.find("[params]").expect("settings have a [params] table")..];
+    let Addresses { api, peer, others, store, cloud } = addresses;
+    let zone = ZONES[node % 2];
     let mut text = format!(
-        "node_name = \"host-{node}\"\nsite = \"{}\"\napi_addr = \"{}\"\nback = \"{}\"\n",
-        ZONES[node % 2],
-        api_addrs[node],
-        peer_addrs[node]
+        "node_name = \"host-{node}\"\nsite = \"{zone}\"\napi_addr = \"{api}\"\nback = \"{peer}\"\n"
     );
     for other in (0..CONTROLLER_COUNT).filter(|n| *n != node) {
         text += &format!(
             "[[known]]\nnode_name = \"host-{other}\"\nsite = \"{}\"\naddress = \"{}\"\n",
             ZONES[other % 2],
-            peer_addrs[other]
+            others[other]
         );
     }
     text + &format!("[outside]\ncloud = \"{cloud}\"\nstate = \"{store}\"\n{params}")
--- a/tests/loopback/history.rs
+++ b/tests/loopback/history.rs
@@ -4,6 +4,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
+use willowshore::wire::{HeartbeatResponse, WorkerCommand};
+
 use crate::check::{Checker, Event};
 use crate::site::WorkerTiming;
 
@@ -43,6 +45,21 @@
         self.record(Event::JobSubmitted { job });
     }
 
+    /// Records the starts in the response to a heartbeat that was sent at `heartbeat_sent_at`.
+    pub fn record_commanded_starts(&self, response: &HeartbeatResponse, heartbeat_sent_at: u64) {
+        for command in &response.commands {
+            if let WorkerCommand::Start { task, .. } = command {
+                let task = (task.job.0, task.index);
+                self.record(Event::StartCommanded { task, heartbeat_sent_at });
+            }
+        }
+    }
+
+    /// Number of jobs that users were shown as cancelled.
+    pub fn cancelled_jobs(&self) -> usize {
+        self.checker.borrow().cancelled_jobs()
+    }
+
     /// Records that a task completed.
     pub fn record_completion(&self, job: u64, index: u32) {
         self.completed.borrow_mut().entry(job).or_default().insert(index);
--- a/tests/loopback/machines.rs
+++ b/tests/loopback/machines.rs
@@ -176,6 +176,7 @@
         heartbeat: Heartbeat,
     ) {
         let body = wire::encode(&heartbeat);
+        let sent_at = self.history.now();
         let answer = client.call("POST", "/v1/report", &body, RESPONSE_TIMEOUT).await;
         let answer = match answer {
             Ok(a) if a.status == 200 => {
@@ -189,6 +190,9 @@
             _ => None,
         };
         let answer = answer.unwrap_or(Answer::Refused);
+        if let Answer::Accepted(response) = &answer {
+            self.history.record_commanded_starts(response, sent_at);
+        }
         let changes =
             worker.borrow_mut().handle_answer(self.history.now(), heartbeat.sequence, answer);
         self.record_changes(worker.borrow().id, changes);
--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -8,6 +8,7 @@
 mod cloud_server;
 mod controllers;
 mod history;
+mod links;
 mod machines;
 #[path = "../sim/site.rs"]
 #[allow(dead_code)]
@@ -24,15 +25,20 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use controllers::Controllers;
+use check::ShownState;
+use controllers::{Controllers, Options};
 use history::History;
 use machines::Machines;
 use site::WorkerTiming;
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 use users::Users;
 
 /// The timing of the workers.
 const TIMING: WorkerTiming = WorkerTiming { report_ms: 500, lease_ms: 6_000, cancel_ms: 16_000 };
+/// The timing of the workers where tasks have to wait for their machine's next heartbeat.
+const RARE_HEARTBEATS: WorkerTiming =
+    WorkerTiming { report_ms: 1_500, lease_ms: 10_000, cancel_ms: 30_000 };
 /// Machines that run before the first job.
 const INITIAL_MACHINES: usize = 36;
 /// The team's limit.
@@ -48,13 +54,13 @@
 }
 
 impl Site {
-    async fn start(name: &str, standby: bool) -> Site {
-        let history = Rc::new(History::new(TIMING, TEAM_LIMIT_CORES));
+    async fn start(name: &str, timing: WorkerTiming, options: Options) -> Site {
+        let history = Rc::new(History::new(timing, TEAM_LIMIT_CORES));
         let store = store_server::start().await;
-        let machines = Rc::new(Machines::new(history.clone(), TIMING));
+        let machines = Rc::new(Machines::new(history.clone(), timing));
         let cloud = cloud_server::start(machines.clone()).await;
         let controllers =
-            Controllers::start(name, TIMING, TEAM_LIMIT_CORES, store, cloud, standby).await;
+            Controllers::start(name, timing, TEAM_LIMIT_CORES, store, cloud, options).await;
         machines.set_controllers(controllers.api_addresses());
         for _ in 0..INITIAL_MACHINES {
             machines.add().await;
@@ -98,7 +104,8 @@
 #[test]
 fn a_leader_suspended_or_killed_in_a_burst_is_replaced_and_no_job_is_lost_or_duplicated() {
     run_on_one_thread(async {
-        let mut site = Site::start("replaced", true).await;
+        let mut site =
+            Site::start("replaced", TIMING, Options { standby: true, links: false }).await;
         let first = site.wait_for_leader(None).await;
         site.users.submit_every(1..=BURST_JOBS, Duration::from_millis(100));
         sleep(Duration::from_millis(1_500)).await;
@@ -151,7 +158,7 @@
 #[test]
 fn without_the_standby_failover_follows_lease_expiry() {
     run_on_one_thread(async {
-        let mut site = Site::start("lease", false).await;
+        let mut site = Site::start("lease", TIMING, Options::default()).await;
         site.users.submit_every(1..=BURST_JOBS, Duration::from_millis(100));
         sleep(Duration::from_millis(2_000)).await;
         assert!(site.controllers.status(0).await.is_none());
@@ -164,3 +171,55 @@
         assert_eq!(site.history.completed_jobs(), BURST_JOBS as usize);
     });
 }
+
+/// Guards against a cancellation that is confirmed to its user while a controller that has lost the store and the other
+/// controllers starts tasks of the job on its machines. Users wait 5 s for the answer.
+#[test]
+fn a_cancellation_is_confirmed_only_once_a_cut_controller_starts_no_task_of_the_job() {
+    const JOBS: u64 = 24;
+    run_on_one_thread(async {
+        let options = Options { standby: true, links: true };
+        let site = Site::start("cut", RARE_HEARTBEATS, options).await;
+        let leader = site.wait_for_leader(None).await;
+        let (cut, other) = ((leader + 1) % 3, (leader + 2) % 3);
+        // Once the first jobs have ended, all machines are in use.
+        site.users.submit_every(JOBS + 1..=2 * JOBS, Duration::from_millis(10));
+        site.wait_until_all_ended().await;
+        site.users.submit_every(1..=JOBS, Duration::from_millis(2));
+        // Most tasks are granted by then and wait for the next heartbeat of their machine.
+        sleep(Duration::from_millis(400)).await;
+        site.controllers.set_cut(cut, true);
+        sleep(Duration::from_millis(50)).await;
+        let cancellations: Vec<_> = (1..=JOBS)
+            .map(|job| {
+                let users = site.users.clone();
+                spawn_local(async move { users.cancel(job, other).await })
+            })
+            .collect();
+        // A request that need not wait is not held up by those that do.
+        sleep(Duration::from_millis(100)).await;
+        let submission = site.users.submit(2 * JOBS + 1, other).await;
+        assert_eq!(submission, Some(ShownState::Open), "refused while cancellations wait");
+        for cancellation in cancellations {
+            let answer = cancellation.await.expect("the request ends");
+            assert!(
+                matches!(answer, Some(ShownState::Cancelled | ShownState::Done)),
+                "{answer:?}; logs in {}",
+                site.controllers.log_dir()
+            );
+        }
+        // Any controller that can still start tasks would do so at its machines' next heartbeats.
+        sleep(Duration::from_millis(2 * RARE_HEARTBEATS.report_ms)).await;
+        site.controllers.set_cut(cut, false);
+        site.wait_until_all_ended().await;
+        for job in 1..=JOBS {
+            for node in 0..3 {
+                site.users.query(job, node).await;
+            }
+        }
+        let violations = site.history.violations();
+        assert!(violations.is_empty(), "{violations:?}\nlogs in {}", site.controllers.log_dir());
+        let cancelled = site.history.cancelled_jobs();
+        assert!(cancelled > JOBS as usize / 2, "only {cancelled} of {JOBS} jobs were cancelled");
+    });
+}
--- a/tests/loopback/users.rs
+++ b/tests/loopback/users.rs
@@ -1,5 +1,5 @@
 //! Simulated users. They submit jobs to the controllers in turn, retry requests that got no answer, and poll each
-//! job until it is done.
+//! job until it is done or cancelled.
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -20,6 +20,8 @@
 
 /// Time-out of a request to a controller.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time for which users wait for the response to a cancellation.
+const CANCELLATION_TIMEOUT: Duration = Duration::from_secs(5);
 /// Interval between two submissions or two queries of the same job.
 const RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -35,7 +37,7 @@
         Users { history, controllers, open_jobs: RefCell::default() }
     }
 
-    /// Jobs passed to `submit_every` that no user was shown as done.
+    /// Jobs passed to `submit_every` that no user was shown as done or cancelled.
     pub fn open_jobs(&self) -> Vec<u64> {
         self.open_jobs.borrow().iter().copied().collect()
     }
@@ -52,13 +54,17 @@
         });
     }
 
-    /// Submits a job until it is accepted, and polls it until it is done.
-    async fn submit_and_follow(self: Rc<Self>, id: u64) {
+    /// Submits a job at a controller, once. Returns the job's state in the response.
+    pub async fn submit(&self, id: u64, node: usize) -> Option<ShownState> {
         let job = JobSpec { spread_zones: false, ..spec(id, 1 + id as u32 % 3, 1.0) };
         self.history.record_submission(id, job.task_count);
-        let body = wire::encode(&job);
+        self.request(id, "POST", "/api/jobs", &wire::encode(&job), node).await
+    }
+
+    /// Submits a job until it is accepted, and polls it until it is done or cancelled.
+    async fn submit_and_follow(self: Rc<Self>, id: u64) {
         let mut attempt = id as usize;
-        while !self.request(id, "POST", "/api/jobs", &body, attempt).await {
+        while self.submit(id, attempt).await.is_none() {
             attempt += 1;
             sleep(RETRY_INTERVAL).await;
         }
@@ -71,7 +77,19 @@
         }
     }
 
-    /// Sends one request for a job. Returns whether the answer contained the job's state.
+    /// Cancels a job at a controller, once. Returns the job's state in the response.
+    pub async fn cancel(&self, id: u64, node: usize) -> Option<ShownState> {
+        self.history.record(Event::CancellationRequested { job: id });
+        let path = format!("/api/jobs/{}/abort", JobId(id));
+        self.request_within(CANCELLATION_TIMEOUT, id, "POST", &path, &[], node).await
+    }
+
+    /// Queries a job at a controller, once. Returns the job's state in the response.
+    pub async fn query(&self, id: u64, node: usize) -> Option<ShownState> {
+        self.request(id, "GET", &format!("/api/jobs/{}", JobId(id)), &[], node).await
+    }
+
+    /// Sends one request for a job. Returns the job's state in the response.
     async fn request(
         &self,
         id: u64,
@@ -79,28 +97,42 @@
         path: &str,
         body: &[u8],
         attempt: usize,
-    ) -> bool {
+    ) -> Option<ShownState> {
+        self.request_within(RESPONSE_TIMEOUT, id, method, path, body, attempt).await
+    }
+
+    /// Sends one request for a job and waits for its response for at most `time_limit`.
+    async fn request_within(
+        &self,
+        time_limit: Duration,
+        id: u64,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        attempt: usize,
+    ) -> Option<ShownState> {
         let node = attempt % self.controllers.len();
         let client = Client::new(self.controllers[node], wire::MAX_BODY_BYTES);
-        let Ok(answer) = client.call(method, path, body, RESPONSE_TIMEOUT).await else {
-            return false;
-        };
+        let answer = client.call(method, path, body, time_limit).await.ok()?;
         if answer.status == 404 {
             self.history.record(Event::JobStateShown { job: id, node, state: ShownState::Unknown });
         }
         if !matches!(answer.status, 200 | 201) {
-            return false;
+            return None;
         }
-        let Ok(answer) = wire::decode::<JobAnswer>(&answer.body) else { return false };
+        let answer = wire::decode::<JobAnswer>(&answer.body).ok()?;
         let state = match answer.state {
             JobState::Pending | JobState::Running => ShownState::Open,
             JobState::Done => ShownState::Done,
             JobState::Cancelled => ShownState::Cancelled,
         };
         self.history.record(Event::JobStateShown { job: id, node, state });
+        if state == ShownState::Cancelled {
+            self.open_jobs.borrow_mut().remove(&id);
+        }
         if state == ShownState::Done && self.open_jobs.borrow_mut().remove(&id) {
             self.history.record_done(id);
         }
-        true
+        Some(state)
     }
 }
