--- a/src/service/cancellations.rs
+++ b/src/service/cancellations.rs
@@ -12,6 +12,7 @@
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout_at};
+use tracing::debug;
 
 use super::{Service, public_server_limits};
 use crate::controller::EndedAnswer;
@@ -140,13 +141,20 @@
         forwarding: Forwarding,
         max_wait: Duration,
     ) -> Option<EndedJobStatus> {
-        let deadline = Instant::now() + max_wait;
+        let arrived_at = Instant::now();
+        let deadline = arrived_at + max_wait;
         let mut guard = None;
         loop {
             // Created before the check, so that no acknowledgement after the check is missed.
             let acknowledged = self.cancellations.acknowledged.notified();
             let effective_within_ms = match self.ended_answer(id)? {
-                EndedAnswer::Final(answer) => return Some(EndedJobStatus::Final(answer)),
+                EndedAnswer::Final(answer) => {
+                    if guard.is_some() {
+                        let waited_ms = arrived_at.elapsed().as_millis() as u64;
+                        debug!(job = %id, waited_ms, "cancellation became effective");
+                    }
+                    return Some(EndedJobStatus::Final(answer));
+                }
                 EndedAnswer::NotEffective { effective_within_ms } => effective_within_ms,
             };
             if guard.is_none() {
@@ -155,6 +163,7 @@
                 guard = WaitingGuard::start(&self.cancellations.waiting, limit);
             }
             if guard.is_none() || Instant::now() >= deadline {
+                debug!(job = %id, effective_within_ms, "cancellation not effective yet, refused");
                 let retry_after_s = effective_within_ms.div_ceil(1_000).max(1) as u32;
                 return Some(EndedJobStatus::NotEffective { retry_after_s });
             }
