Counters of requests in one place; feasibility and limits of requests out of api

No decision changes.

The loopback test of the cut controller also asks another controller while the cancellation is not effective: it must refuse within the 2 s that users wait, with Retry-After.

--- a/src/api.rs
+++ b/src/api.rs
@@ -6,7 +6,9 @@
 //! peer can serve the request, the user gets 503 without further delay and may retry: all requests are idempotent by
 //! job id.
 
-use std::cell::Cell;
+mod feasibility;
+mod request_limits;
+
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,32 +19,19 @@
 use crate::http::{Request, Response};
 use crate::model::{JobId, NodeId};
 use crate::peer::{Forwarding, PeerRequest, PeerResponse};
-use crate::placement;
 use crate::replica::{self, ReplicaChanges};
 use crate::service::{
     CancellationOutcome, ConfirmError, EndedJobStatus, Service, SubmissionOutcome,
 };
 use crate::store_client::StoreError;
-use crate::wire::{self, JobAnswer, JobKind, JobSpec, JobState};
-
-/// Maximum number of concurrent user requests. Further requests get 503.
-const MAX_USER_REQUESTS: usize = 256;
+use crate::wire::{self, JobAnswer, JobSpec, JobState};
 
-/// Counts a user request as in progress until the guard is dropped, including when the request's future is cancelled.
-struct UserRequestGuard<'a>(&'a Cell<usize>);
+use feasibility::Feasibility;
 
-impl<'a> UserRequestGuard<'a> {
-    fn new(count: &'a Cell<usize>) -> Self {
-        count.set(count.get() + 1);
-        UserRequestGuard(count)
-    }
-}
+pub(crate) use request_limits::RequestLimits;
 
-impl Drop for UserRequestGuard<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
-    }
-}
+/// Maximum number of concurrent user requests. Further requests get 503.
+const MAX_USER_REQUESTS: usize = 256;
 
 /// Milliseconds since the replica was last known to be current, above which this controller is ready only if no peer
 /// reaches the store. Corresponds to three watches without a response.
@@ -54,28 +43,9 @@
 /// Time limit for one peer to answer a forwarded request. It is half of [`FORWARDING_TIMEOUT`], so that two peers can
 /// be tried.
 const PEER_FORWARDING_TIMEOUT: Duration = Duration::from_millis(450);
-/// Maximum time from the arrival of a cancellation request for which its response waits for the cancellation to become
-/// effective. Users wait 5 s for the response.
-const MAX_CANCELLATION_WAIT: Duration = Duration::from_millis(4_500);
-/// Maximum wait of a query or a repeated submission, together with a confirmation of the replica. Users wait 2 s for
-/// the response to a query.
-const MAX_QUERY_WAIT: Duration = Duration::from_millis(1_600);
-/// Maximum wait of a forwarded request, shorter than [`PEER_FORWARDING_TIMEOUT`].
-const MAX_FORWARDED_WAIT: Duration = Duration::from_millis(350);
 /// Maximum number of attempts to write a cancellation. An attempt fails if the job's progress changes concurrently.
 const MAX_CANCELLATION_ATTEMPTS: usize = 4;
 
-/// Whether a job can ever run, given the limits of its team and the machine types.
-#[derive(Debug, PartialEq, Eq)]
-enum Feasibility {
-    /// The job can run once machines are free.
-    Feasible,
-    /// The job can never run, for this reason, which the user is shown.
-    Infeasible(&'static str),
-    /// The machine types have not been loaded yet.
-    Unknown,
-}
-
 /// Result of looking up a job while the replica is current.
 #[derive(Debug)]
 enum Lookup {
@@ -85,30 +55,6 @@
     Unknown,
 }
 
-/// How a request may be served: whether it may be forwarded, and how long it may wait for a cancellation to become
-/// effective.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct RequestLimits {
-    forwarding: Forwarding,
-    /// Time at which the wait for a cancellation ends.
-    wait_until: Instant,
-}
-
-impl RequestLimits {
-    /// Limits for a request of a user, which may wait for `max_wait`.
-    fn for_user(max_wait: Duration) -> Self {
-        RequestLimits { forwarding: Forwarding::Allowed, wait_until: Instant::now() + max_wait }
-    }
-
-    /// Limits for a request that another controller forwarded.
-    pub(crate) fn for_forwarded() -> Self {
-        RequestLimits {
-            forwarding: Forwarding::Forbidden,
-            wait_until: Instant::now() + MAX_FORWARDED_WAIT,
-        }
-    }
-}
-
 /// Why a job could not be looked up.
 #[derive(Debug, Error)]
 enum LookupError {
@@ -133,11 +79,10 @@
             ("/v1/report" | "/ready", _) => return Response::empty(405),
             _ => {}
         }
-        if self.user_requests_in_flight.get() >= MAX_USER_REQUESTS {
-            return Response::unavailable(1);
+        match self.user_requests.try_begin(MAX_USER_REQUESTS) {
+            Some(_guard) => self.handle_user_request(path, &request).await,
+            None => Response::unavailable(1),
         }
-        let _guard = UserRequestGuard::new(&self.user_requests_in_flight);
-        self.handle_user_request(path, &request).await
     }
 
     /// Handles a user request, for which `path` is given without the query string.
@@ -167,9 +112,9 @@
             return Response::empty(404);
         };
         if is_abort {
-            self.abort(id, RequestLimits::for_user(MAX_CANCELLATION_WAIT)).await
+            self.abort(id, RequestLimits::for_cancellation()).await
         } else {
-            self.query(id, RequestLimits::for_user(MAX_QUERY_WAIT)).await
+            self.query(id, RequestLimits::for_query()).await
         }
     }
 
@@ -234,7 +179,7 @@
         if let Err(e) = spec.check() {
             return error_response(400, &e.to_string());
         }
-        self.submit(spec, RequestLimits::for_user(MAX_QUERY_WAIT)).await
+        self.submit(spec, RequestLimits::for_query()).await
     }
 
     /// Accepts a submission, or forwards it if this controller cannot write to the store.
@@ -299,45 +244,11 @@
         }
     }
 
-    /// Determines whether a job can ever run.
-    fn feasibility(&self, spec: &JobSpec) -> Feasibility {
-        let Some(team) = self.settings.team(&spec.team) else {
-            return Feasibility::Infeasible("unknown team");
-        };
-        let controller = self.controller.borrow();
-        if controller.catalog.is_empty() {
-            return Feasibility::Unknown;
-        }
-        if !placement::can_ever_run(spec, &controller.catalog) {
-            return Feasibility::Infeasible("a task fits no allowed machine type");
-        }
-        if !placement::zones_allow_all(spec, &controller.catalog) {
-            return Feasibility::Infeasible(
-                "its tasks can't all run at once in the zones it may use",
-            );
-        }
-        // An array job may run its tasks one after the other.
-        let min_concurrent_tasks = match spec.kind {
-            JobKind::Array => 1,
-            JobKind::Service | JobKind::Gang => u64::from(spec.task_count),
-        };
-        let need = crate::resources::Resources::of(spec);
-        let exceeds = |limit: Option<crate::model::Cores>, per_task: u64| {
-            limit.is_some_and(|limit| per_task.saturating_mul(min_concurrent_tasks) > limit.0)
-        };
-        if exceeds(team.core_limit(), need.cores.0)
-            || exceeds(team.accelerator_limit(), need.accelerators.0)
-        {
-            return Feasibility::Infeasible("beyond the team's limit");
-        }
-        Feasibility::Feasible
-    }
-
     /// Returns the response for a job that has ended; `None` if the job is not known to have ended. Waits for a
     /// cancellation to become effective, and refuses the request if that takes too long. Every response that shows a
     /// job as ended is made here.
     async fn ended_response(&self, id: JobId, limits: RequestLimits) -> Option<Response> {
-        let max_wait = limits.wait_until.saturating_duration_since(Instant::now());
+        let max_wait = limits.remaining_wait();
         Some(match self.ended_status(id, limits.forwarding, max_wait).await? {
             EndedJobStatus::Final(answer) => Response::new(200, wire::encode(&answer)),
             EndedJobStatus::NotEffective { retry_after_s } => Response::unavailable(retry_after_s),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod peer;
 pub mod placement;
 pub mod replica;
+pub mod request_count;
 pub mod resources;
 pub mod service;
 pub mod shard;
--- a/src/service.rs
+++ b/src/service.rs
@@ -34,6 +34,7 @@
 use crate::metrics::LatencyMetrics;
 use crate::model::{ClockReading, Incarnation, MonotonicTime, NodeId, WallTime};
 use crate::peer::PeerResponse;
+use crate::request_count::RequestCount;
 use crate::store_client::StoreClient;
 
 pub(crate) use cancellations::{CancellationOutcome, EndedJobStatus};
@@ -139,7 +140,7 @@
     /// and the time at which the summary was received.
     store_summary_responses: RefCell<HashMap<NodeId, (MonotonicTime, PeerResponse)>>,
     /// Number of user requests in progress.
-    pub(crate) user_requests_in_flight: Cell<usize>,
+    pub(crate) user_requests: RequestCount,
     /// Number of direct commands that machines have not answered yet.
     direct_commands_in_flight: Cell<usize>,
     metrics: LatencyMetrics,
@@ -175,7 +176,7 @@
             confirmations: ConfirmationQueue::default(),
             submissions: SubmissionQueue::default(),
             store_summary_responses: RefCell::default(),
-            user_requests_in_flight: Cell::new(0),
+            user_requests: RequestCount::default(),
             direct_commands_in_flight: Cell::new(0),
             metrics: LatencyMetrics::default(),
             last_epoch_us: Cell::new(0),
--- a/src/service/cancellations.rs
+++ b/src/service/cancellations.rs
@@ -5,7 +5,6 @@
 //! exchange of messages. Requests wait for it for a bounded time and in a bounded number; further
 //! requests are refused with `Retry-After`.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,6 +18,7 @@
 use crate::model::{JobId, NodeId, Revision};
 use crate::peer::{Forwarding, PeerRequest, PeerResponse};
 use crate::replica;
+use crate::request_count::RequestCount;
 use crate::store_client::{StoreError, TxnOutcome};
 use crate::wire::JobAnswer;
 
@@ -67,8 +67,8 @@
 /// Requests that wait until cancellations are effective, and the wake-ups of the loops that send
 /// notices.
 pub(super) struct CancellationQueue {
-    /// Number of waiting requests.
-    waiting: Cell<usize>,
+    /// Waiting requests.
+    waiting: RequestCount,
     /// Wakes the waiting requests: a controller acknowledged cancellations.
     acknowledged: Notify,
     /// Wakes [`Service::send_cancellation_notices`] for each controller, by index.
@@ -78,7 +78,7 @@
 impl CancellationQueue {
     pub(super) fn new(controller_count: usize) -> Self {
         CancellationQueue {
-            waiting: Cell::new(0),
+            waiting: RequestCount::default(),
             acknowledged: Notify::new(),
             notices_due: (0..controller_count).map(|_| Notify::new()).collect(),
         }
@@ -89,26 +89,6 @@
     }
 }
 
-/// Guard that counts a waiting request until it is dropped.
-struct WaitingGuard<'a>(&'a Cell<usize>);
-
-impl<'a> WaitingGuard<'a> {
-    /// Counts a waiting request, unless `limit` requests wait already.
-    fn start(waiting: &'a Cell<usize>, limit: usize) -> Option<Self> {
-        if waiting.get() >= limit {
-            return None;
-        }
-        waiting.set(waiting.get() + 1);
-        Some(WaitingGuard(waiting))
-    }
-}
-
-impl Drop for WaitingGuard<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
-    }
-}
-
 impl Service {
     /// Cancels a job durably.
     ///
@@ -160,7 +140,7 @@
             if guard.is_none() {
                 self.collect_acknowledgements(id);
                 let limit = self.max_waiting_requests(forwarding);
-                guard = WaitingGuard::start(&self.cancellations.waiting, limit);
+                guard = self.cancellations.waiting.try_begin(limit);
             }
             if guard.is_none() || Instant::now() >= deadline {
                 debug!(job = %id, effective_within_ms, "cancellation not effective yet, refused");
--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -196,10 +196,15 @@
                 spawn_local(async move { users.cancel(job, other).await })
             })
             .collect();
-        // A request that need not wait is not held up by those that do.
         sleep(Duration::from_millis(100)).await;
+        // Until the cut controller has lost its right to start tasks, nobody says that a job is cancelled, and nobody
+        // says anything older. A request that need not wait is not held up by those that do.
+        let users = site.users.clone();
+        let query = spawn_local(async move { users.query_refused(JOBS, leader).await });
         let submission = site.users.submit(2 * JOBS + 1, other).await;
         assert_eq!(submission, Some(ShownState::Open), "refused while cancellations wait");
+        let retry_after_s = query.await.expect("the request ends");
+        assert!(retry_after_s.is_some_and(|s| (1..=4).contains(&s)), "{retry_after_s:?}");
         for cancellation in cancellations {
             let answer = cancellation.await.expect("the request ends");
             assert!(
--- a/tests/loopback/users.rs
+++ b/tests/loopback/users.rs
@@ -20,6 +20,8 @@
 
 /// Time-out of a request to a controller.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time for which users wait for the response to a query.
+const QUERY_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for which users wait for the response to a cancellation.
 const CANCELLATION_TIMEOUT: Duration = Duration::from_secs(5);
 /// Interval between two submissions or two queries of the same job.
@@ -84,6 +86,15 @@
         self.request_within(CANCELLATION_TIMEOUT, id, "POST", &path, &[], node).await
     }
 
+    /// Queries a job at a controller, which is expected to refuse. Returns the response's `Retry-After` in seconds; `None`
+    /// if there is no response within the time for which users wait for one, or another response than a refusal.
+    pub async fn query_refused(&self, id: u64, node: usize) -> Option<u32> {
+        let client = Client::new(self.controllers[node], wire::MAX_BODY_BYTES);
+        let path = format!("/api/jobs/{}", JobId(id));
+        let answer = client.call("GET", &path, &[], QUERY_TIMEOUT).await.ok()?;
+        answer.retry_after_s.filter(|_| answer.status == 503)
+    }
+
     /// Queries a job at a controller, once. Returns the job's state in the response.
     pub async fn query(&self, id: u64, node: usize) -> Option<ShownState> {
         self.request(id, "GET", &format!("/api/jobs/{}", JobId(id)), &[], node).await
